--- /dev/null
+++ b/cottonladder/__init__.py
@@ -0,0 +1,1 @@
+"""cottonladder: a control plane for a service's proxies."""
