--- a/cottonladder/decisions/interface.py
+++ b/cottonladder/decisions/interface.py
@@ -90,6 +90,7 @@
     bare_most: float
     drain_grace: float
     cold_share: float
+    fall_multiple: float
     warm_after: float
     cross_zone_price: float
 
--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -28,25 +28,26 @@
 BEAT = 0.25  # s between two looks at what is due
 ANSWER_WAIT = 3.0  # s a table waits for its mark's answers (design)
 MOVE = 0.1  # part of a weight below which it stays (design)
-LOAD_FLOOR = 0.1  # least load report that counts (design)
-AVERAGED = 10  # intervals in a capacity estimate (design)
+LOAD_FLOOR, AVERAGED = 0.1, 10  # least load report that counts; intervals in an estimate (design)
 NEW_SHARE = 0.25  # of average, where a new server starts (design)
-LINK_OVER = 2.0  # a link stays while under this multiple of the fleet's median (design)
-LINK_SPAN = 5.0  # s over which a link's least response time is taken (design)
+LINK_OVER, LINK_SPAN = 2.0, 5.0  # over the fleet's median a link goes; s its least time is taken over (design)
 CROSS_COST, ABOVE_EVEN_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
 SLACK, SLACK_FOR_PRICE = 0.15, 2.0  # how far above the mean level; more where crossing zones is priced higher
-SLOW_OVER = 1.5  # response time over the fleet's median from which an estimate falls
-BAD_SHARE, BAD_LEAST, BAD_OVER_FLEET = 0.3, 3.0, 3.0  # errored part, errored tries, and over the others' part
-OUT_MOST = 0.34  # of the fleet's capacity that may be shut out for health
+SLOW_POWER, SLOW_LEAST = 1.0, 0.03  # of the fleet's response time over a server's, as its estimate's factor
+SLOW_OVER = 1.5  # response time over the fleet's median up to which nothing falls
+SILENT_SHARE, FAST_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part of a silent or a fast failing server, tries
+OUT_MOST = 0.34  # of the fleet's listed capacity that may be shut out for health
 OUT_WAIT, OUT_WAIT_MOST = 4.0, 16.0  # s until a trial, doubled each time it fails
-TRIAL_SHARE, TRIAL_TRIES = 0.1, 4.0  # weight of a trial, of average; good tries that end it
+TRIAL_SHARE, TRIAL_TRIES = 0.1, 3.0  # weight of a trial, of average; good tries that end it
 CUT_SHARE, CUT_LEAST = 0.6, 4.0  # errored part and tries that cut a link
 LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
+COLD_PART = 0.2  # of the fall-over multiple: how full a cold server is made against a warm one
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
 SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
 BIN_STEP, BINS = 1.5, 16  # response times: ratio of neighbouring bins, and how many
 
 ABSENT, WELL, RAMP, OUT, TRIAL, GONE = "absent", "well", "ramp", "out", "trial", "gone"
+LIVE = (WELL, RAMP, TRIAL)
 IDLE, WAITING = "idle", "waiting"
 
 
@@ -259,6 +260,7 @@
         self.measure_at = 0.0
         self.urgent = False
         self.listed = False
+        self.strain = 0.0  # errored part of all tries of late
         self.follow_at = 0.0
         self.follow_wait = 0.5
         pairs = [[0.0] * terms.zones for _ in range(terms.zones)]
@@ -404,25 +406,29 @@
     def _judge(self) -> None:
         """Symptoms to lifecycle steps, each beat.
 
-        A server is bad when its tries err far more than the others' do: so an overload, in which all err,
-        shuts nobody out, and never more than OUT_MOST of the capacity is out.
+        Shut out are servers that hardly answer at all, and those that fail fast: errors while what they do
+        answer comes at the usual speed.  Errors with slow answers are overload or a slow machine: there the
+        estimate falls, since shutting out would push the rest over.  Could harm where a few unlucky sums make
+        a good server look silent; the cap on what may be out and the trial bound that.
         """
         self._judge_links()
-        live = {i: be for i, be in self.bes.items() if be.state in (WELL, RAMP, TRIAL)}
+        live = {i: be for i, be in self.bes.items() if be.state in LIVE}
         seen = {i: self._met(be) for i, be in live.items()}
-        tries = sum(n for n, _ in seen.values())
-        errored = sum(e for _, e in seen.values())
-        listed = sum(be.weight for be in self.bes.values() if be.state not in (ABSENT, GONE))
+        tries, errored = sum(n for n, _ in seen.values()), sum(e for _, e in seen.values())
+        self.strain = errored / tries if tries > 0 else 0.0
+        listed = sum(be.weight for be in self.bes.values() if be.state in (*LIVE, OUT))
         shut = sum(be.weight for be in self.bes.values() if be.state == OUT)
+        usual = self._usual_time()
         for i, be in live.items():
             n, e = seen[i]
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
-            least = 1.0 if be.state == TRIAL else BAD_LEAST
-            if e >= least and e >= BAD_SHARE * n and e >= BAD_OVER_FLEET * others * n:
+            silent = e >= SILENT_SHARE * n and others < SILENT_SHARE / 2
+            fast = e >= FAST_SHARE * n and others < FAST_SHARE / 2 and 0 < be.times.mean() < SLOW_OVER * usual
+            if n >= (BAD_LEAST if be.state != TRIAL else 1.0) and e > 0 and (silent or fast):
                 if shut + be.weight <= OUT_MOST * listed:
                     shut += be.weight
                     self._step(i, be, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}")
-            elif be.state == TRIAL and n >= TRIAL_TRIES:
+            elif be.state == TRIAL and n >= TRIAL_TRIES and e < FAST_SHARE * n:
                 self._step(i, be, "fine", f"errored {e:.0f} of {n:.0f}")
             elif be.state == RAMP and self._ease(be) >= 4.0:
                 self._step(i, be, "grown", "ramp over")
@@ -434,6 +440,10 @@
                 else:
                     self._step(i, be, "due", "waited")
 
+    def _usual_time(self) -> float:
+        means = [m for be in self.bes.values() if be.state in LIVE and (m := be.times.mean()) > 0]
+        return median(means) if means else 0.0
+
     def _met(self, be: Be) -> tuple[float, float]:
         """Tries and errored tries at a server, but for those over cut links."""
         open_zones = [z for z in range(self.terms.zones) if self.now >= self.link_cut[z][be.zone]]
@@ -469,14 +479,13 @@
                 load = max(LOAD_FLOOR, sum(be.load) / len(be.load))
                 be.measured.append(be.rate / load / max(0.05, self.part[be.zone]))
             be.rate, be.load = 0.0, []
-        means = {i: be.times.mean() for i, be in self.bes.items() if be.state not in (ABSENT, GONE)}
-        heard = [m for m in means.values() if m > 0]
-        usual = median(heard) if heard else 0.0
-        for i, mean in means.items():
-            be = self.bes[i]
-            if mean > 0:
-                aim = min(1.0, SLOW_OVER * usual / mean)
-                be.slowness += (aim - be.slowness) * 0.5
+        usual = self._usual_time()
+        for be in self.bes.values():
+            mean, (n, e) = be.times.mean(), self._met(be)
+            aim = min(1.0, (SLOW_OVER * usual / mean) ** SLOW_POWER) if mean > 0 else be.slowness
+            if n > 0:
+                aim *= 1.0 - e / n
+            be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * 0.5)
             be.times.halve()
         for be in self.bes.values():
             be.tries = [n / 2 for n in be.tries]
@@ -487,7 +496,7 @@
 
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate now."""
-        live = {i: be for i, be in self.bes.items() if be.state in (WELL, RAMP, TRIAL)}
+        live = {i: be for i, be in self.bes.items() if be.state in LIVE}
         if not live:  # all that is listed is shut out: better those than no line at all
             live = {i: be for i, be in self.bes.items() if be.state == OUT}
         heard = [be for be in live.values() if be.measured]
@@ -507,7 +516,7 @@
             age = self.now - be.started
             if be.started > 0 and age < self.terms.warm_after:  # keeps the rule on cold servers
                 share = self.terms.cold_share + (1 - self.terms.cold_share) * age / self.terms.warm_after
-                full[i] *= share
+                full[i] *= share * min(1.0, COLD_PART * self.terms.fall_multiple) * (1.0 - self.strain) ** 2
         return full
 
     # ---- the flow -----------------------------------------------------------------------------------
@@ -599,7 +608,7 @@
         touched: list[int] = []
         for i, be in self.bes.items():
             leaving = be.state == GONE
-            if leaving != be.cordoned and (leaving or be.state in (WELL, RAMP, TRIAL)):
+            if leaving != be.cordoned and (leaving or be.state in LIVE):
                 self._send_cordon(i, be, leaving)
         if self.terms.slices:
             self._mend_slices()
@@ -717,7 +726,7 @@
 
 
 Effect = Callable[[Ladder, Be], None]
-LISTED = (WELL, RAMP, TRIAL, OUT)
+LISTED = (*LIVE, OUT)
 LIFE: dict[tuple[str, str], tuple[str, Effect | None]] = {
     **{(state, "started"): (RAMP, Ladder._begin) for state in (ABSENT, *LISTED, GONE)},
     **{(state, "leaving"): (GONE, None) for state in (ABSENT, *LISTED)},
--- a/cottonladder/simhost/codec.py
+++ b/cottonladder/simhost/codec.py
@@ -97,6 +97,7 @@
             bare_most=_seconds(fam, "BareMs", where),
             drain_grace=_seconds(rules, "DrainGraceMs", where),
             cold_share=float(field(rules, "ColdFrom", _NUMBER, where)),
+            fall_multiple=float(field(rules, "FallMultiple", _NUMBER, where)),
             warm_after=_seconds(rules, "WarmAfterMs", where),
             cross_zone_price=float(field(prices, "CrossZone", _NUMBER, where, 0.0)),
         )
