--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -469,7 +469,9 @@
                 be.measured.append(be.rate / load / max(0.05, self.part[be.zone]))
             be.rate, be.load = 0.0, []
             mean, (n, e) = be.times.mean(), self._met(be)
-            aim = min(1.0, SLOW_OVER * usual / mean) if mean > 0 else be.slowness
+            aim = be.slowness  # a listed size knows no speed: there the response time stands for it
+            if mean > 0:
+                aim = min(1.0, SLOW_OVER * usual / mean) if be.measured else usual / mean
             aim *= 1.0 - e / n if n > 0 else 1.0
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * SLOW_STEP)
         erred = [e / n for n, e in map(self._met, self._live().values()) if n >= 1.0]
@@ -519,7 +521,7 @@
         missing = self.terms.proxies - len(self.proxies)
         gaps = [max(0.0, self.terms.proxies / len(self.zones) - c) for c in count]
         if self.terms.managers > 1 and missing > 0 and self.proxies and sum(gaps) > 0:
-            each = sum(p.rate for p in self.proxies.values()) / len(self.proxies)
+            each = median(p.rate for p in self.proxies.values())
             others = [missing * each * gap / sum(gaps) for gap in gaps]
         return own, others
 
