--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -36,7 +36,8 @@
 CROSS_COST, ABOVE_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
 SLACK, SLACK_FOR_PRICE = 0.15, 2.0  # how far above the mean level; more where crossing zones is priced higher
 SLOW_OVER = 1.5  # response time over the fleet's median up to which an estimate stays
-SLOW_LEAST, SLOW_STEP = 0.03, 0.5  # least factor; part of the way it goes each interval
+SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.3  # least factor; part of the way it goes each interval
+KEEP = 0.35  # of what was counted, each interval
 SILENT_SHARE, FAST_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part if silent, if failing fast; least tries
 OUT_MOST = 0.34  # of the fleet's listed capacity that may be shut out for health
 OUT_WAIT, OUT_WAIT_MOST = 4.0, 16.0  # s until a trial, doubled each time it fails
@@ -45,7 +46,7 @@
 LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
 COLD_PART, COLD_CALM = 0.2, 3.0  # of the fall-over multiple, how full a cold server is made; 1/strain for none
 STRAIN_ERRED, STRAIN_TIME = 0.1, 0.6  # errored part, and time over the tightest target, that mean overload
-LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.15, 0.05, 0.1  # steps of what is let in, and its least, by kind
+LEVEL_DOWN, LEVEL_UP, LEVEL_FLOOR, LEVEL_LEAST = 0.1, 0.1, 0.5, 0.1  # steps of what is let in, and its least, by kind
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
 SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
 BIN_STEP, BINS = 1.5, 16  # response times: ratio of neighbouring bins, and how many
@@ -473,16 +474,16 @@
             if mean > 0:
                 aim = min(1.0, SLOW_OVER * usual / mean) if be.measured else usual / mean
             aim *= 1.0 - e / n if n > 0 else 1.0
-            be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * SLOW_STEP)
+            be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * (SLOW_FALL if aim < be.slowness else SLOW_RISE))
         erred = [e / n for n, e in map(self._met, self._live().values()) if n >= 1.0]
         strained = max(median(erred) / STRAIN_ERRED if erred else 0.0, usual / (STRAIN_TIME * self.tightest))
         before = self.let_in
         self.let_in += -LEVEL_DOWN * min(1.0, strained - 1.0) if strained > 1.0 else LEVEL_UP
-        self.let_in = min(1.0, max(LEVEL_LEAST, self.let_in))
+        self.let_in = min(1.0, max(LEVEL_FLOOR, self.let_in))
         if (before < 1.0) != (self.let_in < 1.0):
             self._say(f"levels {'on' if self.let_in < 1 else 'off'}: strain {strained:.2f}, time {usual:.2f}")
         for be in self.bes.values():
-            be.fade(0.5)
+            be.fade(KEEP)
 
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate now."""
