--- a/cottonladder/decisions/interface.py
+++ b/cottonladder/decisions/interface.py
@@ -93,6 +93,7 @@
     fall_multiple: float
     warm_after: float
     cross_zone_price: float
+    probe_price: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -40,8 +40,10 @@
 KEEP = 0.35  # of what was counted, each interval
 SILENT_SHARE, FAST_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part if silent, if failing fast; least tries
 OUT_MOST = 0.34  # of the fleet's listed capacity that may be shut out for health
-OUT_WAIT, OUT_WAIT_MOST = 4.0, 16.0  # s until a trial, doubled each time it fails
-TRIAL_SHARE, TRIAL_TRIES = 0.1, 3.0  # weight of a trial, of average; tries that end it
+OUT_WAIT, OUT_WAIT_MOST = 3.0, 12.0  # s until a trial, doubled each time it fails
+TRIAL_SHARE, TRIAL_TRIES = 0.2, 3.0  # weight of a trial, of average; tries that end it
+PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what probing may cost; lost ones in a row
+QUEUE_OVER = 2.0  # reqs held over rate, as a multiple of the response time heard, that shows a fresh queue
 CUT_SHARE, CUT_LEAST = 0.6, 4.0  # errored part and tries that cut a link
 LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
 COLD_PART, COLD_CALM = 0.2, 3.0  # of the fall-over multiple, how full a cold server is made; 1/strain for none
@@ -93,6 +95,9 @@
     measured: deque[float] = field(default_factory=lambda: deque(maxlen=AVERAGED))
     slowness: float = 1.0
     cordoned: bool = False
+    lost: int = 0  # probes in a row
+    held: float = -1.0  # reqs in hand by its probes, smoothed
+    planned: float = 0.0  # reqs a second that the last solution sends it, all managers' counted
 
     def fade(self, keep: float) -> None:
         self.tries = [n * keep for n in self.tries]
@@ -251,7 +256,7 @@
         self.slices: dict[int, dict[int, float]] = {}
         self.gate = Gate(terms)
         self.out: list[it.Order] = []  # orders for which no proxy is written
-        self.now = self.solve_at = self.measure_at = self.follow_at = 0.0
+        self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
         self.follow_wait = 0.5
         self.beat = 0
         self.urgent = self.listed = False
@@ -288,6 +293,8 @@
         if self.terms.list_on_request and self.now >= self.follow_at:
             self.out.append(it.Follow(True))
             self.follow_at = self.now + 5.0  # a call that was never answered is asked again
+        if self.terms.probing and self.listed and self.now >= self.probe_at:
+            self._probe()
         self._judge()
 
     # ---- the list
@@ -331,12 +338,13 @@
             effect(self, be)
 
     def _begin(self, be: Be) -> None:
-        be.since, be.wait, be.slowness = self.now, OUT_WAIT, 1.0
+        be.since, be.wait, be.slowness, be.held, be.lost = self.now, OUT_WAIT, 1.0, -1.0, 0
         be.fade(0.0)
 
     def _shut(self, be: Be) -> None:
         be.due = self.now + be.wait * self.uniform(0.9, 1.1)
         be.wait = min(be.wait * 2, OUT_WAIT_MOST)
+        be.planned = 0.0
 
     # ---- reports
 
@@ -360,13 +368,26 @@
         if u.proxy in self.proxies and u.span > 0:
             self.proxies[u.proxy].came[u.kind] = u.reqs / u.span
 
+    def _probe(self) -> None:
+        """All listed servers, as often as a small part of a point pays for: silence and queues show at once
+        there, seconds before the sums.  Harms where probes wait in the queue: then overload looks silent, and
+        only the cap on what may be out helps."""
+        listed = [i for i, be in self.bes.items() if be.state in (OUT, *LIVE)]
+        reqs = max(1.0, sum(p.demand(len(self.terms.kinds)) for p in self.proxies.values()))
+        price = len(listed) * self.terms.probe_price / reqs  # the part of all traffic cancels the managers out
+        self.probe_at = self.now + max(PROBE_EVERY, price / PROBE_POINTS) * self.uniform(0.9, 1.1)
+        self.out += [it.Probe(i) for i in listed]
+
     def _probed(self, p: it.Probed) -> None:
         be = self.bes.get(p.be)
-        if be is not None and be.state == OUT:
-            if p.done:
-                self._step(p.be, "due", f"probe answered in {p.took * 1000:.0f} ms")
-            else:
-                be.due = self.now + OUT_WAIT / 2
+        if be is None:
+            return
+        be.lost = 0 if p.done else be.lost + 1
+        if "inflight" in p.report:
+            held = p.report["inflight"]
+            be.held = held if be.held < 0 else (be.held + held) / 2
+        if p.done and be.state == OUT and self.now >= be.due:
+            self._step(p.be, "due", f"probe answered in {p.took * 1000:.0f} ms")
 
     def _joined(self, j: it.Joined) -> None:
         self.proxies[j.proxy] = Proxy(j.zone, j.reqs_per_s)
@@ -415,26 +436,22 @@
         shut = sum(be.weight for be in self.bes.values() if be.state == OUT)
         most = OUT_MOST * (shut + sum(be.weight for be in live.values()))
         usual = self._usual_time()
-        for i, be in live.items():
-            n, e = seen[i]
+        for i, be in self.bes.items():
+            n, e = seen.get(i, (0.0, 0.0))
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
             silent = e >= SILENT_SHARE * n and others < SILENT_SHARE / 2
             fast = e >= FAST_SHARE * n and others < FAST_SHARE / 2 and 0 < be.times.mean() < SLOW_OVER * usual
-            if n >= (BAD_LEAST if be.state != TRIAL else 1.0) and e > 0 and (silent or fast):
+            heard = n >= (BAD_LEAST if be.state != TRIAL else 1.0) and e > 0
+            if be.state in LIVE and (heard and (silent or fast) or be.lost >= PROBES_LOST):
                 if shut + be.weight <= most:
                     shut += be.weight
-                    self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}")
+                    self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
             elif be.state == TRIAL and n >= TRIAL_TRIES and e < FAST_SHARE * n:
                 self._step(i, "fine", f"errored {e:.0f} of {n:.0f}")
             elif be.state == RAMP and self._ease(be) >= 4.0:
                 self._step(i, "grown", "ramp over")
-        for i, be in self.bes.items():
-            if be.state == OUT and self.now >= be.due:
-                if self.terms.probing:
-                    be.due = self.now + OUT_WAIT
-                    self.out.append(it.Probe(i))
-                else:
-                    self._step(i, "due", "waited")
+            elif be.state == OUT and self.now >= be.due and not self.terms.probing:
+                self._step(i, "due", "waited")
 
     def _judge_links(self) -> None:
         """Guards against a zone cut off: most tries of one zone at a whole other group err.
@@ -470,6 +487,8 @@
                 be.measured.append(be.rate / load / max(0.05, self.part[be.zone]))
             be.rate, be.load = 0.0, []
             mean, (n, e) = be.times.mean(), self._met(be)
+            if mean > 0 and be.planned > 0 and be.held > QUEUE_OVER * mean * be.planned:
+                mean = be.held / be.planned
             aim = be.slowness  # a listed size knows no speed: there the response time stands for it
             if mean > 0:
                 aim = min(1.0, SLOW_OVER * usual / mean) if be.measured else usual / mean
@@ -565,6 +584,8 @@
             table.want = {i: shares[g] * full[i] / room[g] for g in kept for i in groups[g]}
         for g in self.zones:
             total = sum(flow[z][g] for z in self.zones)
+            for i in groups[g]:
+                self.bes[i].planned = total * full[i] / room[g]
             mine = sum(flow[z][g] * own[z] / demand[z] for z in self.zones if demand[z] > 0)
             self.part[g] = mine / total if total > 0 else 1.0
 
@@ -731,7 +752,7 @@
     (ABSENT, "seen"): (RAMP, Ladder._begin),
     (GONE, "seen"): (RAMP, Ladder._begin),
     (RAMP, "grown"): (WELL, None),
-    (OUT, "due"): (TRIAL, lambda ladder, be: be.fade(0.0)),
+    (OUT, "due"): (TRIAL, Ladder._begin),
     (TRIAL, "fine"): (RAMP, Ladder._begin),
 }
 PACE = {
--- a/cottonladder/simhost/codec.py
+++ b/cottonladder/simhost/codec.py
@@ -100,6 +100,7 @@
             fall_multiple=float(field(rules, "FallMultiple", _NUMBER, where)),
             warm_after=_seconds(rules, "WarmAfterMs", where),
             cross_zone_price=float(field(prices, "CrossZone", _NUMBER, where, 0.0)),
+            probe_price=float(field(prices, "Probe", _NUMBER, where, 0.0)),
         )
 
     @staticmethod
