--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -38,15 +38,17 @@
 SLOW_OVER = 1.5  # response time over the fleet's median up to which an estimate stays
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.3  # least factor; part of the way it goes each interval
 KEEP = 0.35  # of what was counted, each interval
-SILENT_SHARE, FAST_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part if silent, if failing fast; least tries
+SILENT_SHARE, FINE_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part if silent, at most if fine; least tries
+ERRED_POWER = 3  # of the answered part, in a server's estimate
 OUT_MOST = 0.34  # of the fleet's listed capacity that may be shut out for health
-OUT_WAIT, OUT_WAIT_MOST = 3.0, 12.0  # s until a trial, doubled each time it fails
-TRIAL_SHARE, TRIAL_TRIES = 0.2, 3.0  # weight of a trial, of average; tries that end it
+OUT_WAIT, OUT_WAIT_MOST = 4.0, 16.0  # s until a trial, doubled each time it fails
+TRIAL_SHARE, TRIAL_TRIES = 0.1, 3.0  # weight of a trial, of average; tries that end it
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what probing may cost; lost ones in a row
 QUEUE_OVER = 2.0  # reqs held over rate, as a multiple of the response time heard, that shows a fresh queue
-CUT_SHARE, CUT_LEAST = 0.6, 4.0  # errored part and tries that cut a link
+CUT_SHARE, CUT_LEAST, CUT_CALM = 0.9, 4.0, 0.3  # errored part and tries that cut a link; the fleet's at most
 LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
-COLD_PART, COLD_CALM = 0.2, 3.0  # of the fall-over multiple, how full a cold server is made; 1/strain for none
+COLD_PART, COLD_CALM, COLD_OVER = 0.2, 6.0, 1.5  # of the fall-over multiple, how full a cold server is
+# made; 1/strain for none; how far over the mean level a table may fill it
 STRAIN_ERRED, STRAIN_TIME = 0.1, 0.6  # errored part, and time over the tightest target, that mean overload
 LEVEL_DOWN, LEVEL_UP, LEVEL_FLOOR, LEVEL_LEAST = 0.1, 0.1, 0.5, 0.1  # steps of what is let in, and its least, by kind
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
@@ -341,6 +343,9 @@
         be.since, be.wait, be.slowness, be.held, be.lost = self.now, OUT_WAIT, 1.0, -1.0, 0
         be.fade(0.0)
 
+    def _resume(self, be: Be) -> None:
+        be.since, be.wait = self.now - INTERVAL, OUT_WAIT  # tried already: from half of average
+
     def _shut(self, be: Be) -> None:
         be.due = self.now + be.wait * self.uniform(0.9, 1.1)
         be.wait = min(be.wait * 2, OUT_WAIT_MOST)
@@ -435,18 +440,16 @@
         self.strain = errored / tries if tries > 0 else 0.0
         shut = sum(be.weight for be in self.bes.values() if be.state == OUT)
         most = OUT_MOST * (shut + sum(be.weight for be in live.values()))
-        usual = self._usual_time()
         for i, be in self.bes.items():
             n, e = seen.get(i, (0.0, 0.0))
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
             silent = e >= SILENT_SHARE * n and others < SILENT_SHARE / 2
-            fast = e >= FAST_SHARE * n and others < FAST_SHARE / 2 and 0 < be.times.mean() < SLOW_OVER * usual
             heard = n >= (BAD_LEAST if be.state != TRIAL else 1.0) and e > 0
-            if be.state in LIVE and (heard and (silent or fast) or be.lost >= PROBES_LOST):
+            if be.state in LIVE and ((heard and silent) or be.lost >= PROBES_LOST):
                 if shut + be.weight <= most:
                     shut += be.weight
                     self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
-            elif be.state == TRIAL and n >= TRIAL_TRIES and e < FAST_SHARE * n:
+            elif be.state == TRIAL and n >= TRIAL_TRIES and e < FINE_SHARE * n:
                 self._step(i, "fine", f"errored {e:.0f} of {n:.0f}")
             elif be.state == RAMP and self._ease(be) >= 4.0:
                 self._step(i, "grown", "ramp over")
@@ -461,7 +464,7 @@
         for g in self.zones:
             group = [be for be in self.bes.values() if be.zone == g]
             met = [(sum(be.tries[z] for be in group), sum(be.errored[z] for be in group)) for z in self.zones]
-            if met[g][0] >= CUT_LEAST and met[g][1] >= CUT_SHARE / 2 * met[g][0]:
+            if self.strain > CUT_CALM or met[g][1] > CUT_CALM * met[g][0]:
                 continue
             for z in self.zones:
                 n, e = met[z]
@@ -474,6 +477,9 @@
 
     # ---- estimates
 
+    def _cold(self, be: Be) -> bool:
+        return be.started > 0 and self.now - be.started < self.terms.warm_after
+
     def _ease(self, be: Be) -> float:
         """A new server's share of average: a quarter, doubled each interval (design)."""
         return float(NEW_SHARE * 2.0 ** min(10.0, max(0.0, self.now - be.since) // INTERVAL))
@@ -492,7 +498,7 @@
             aim = be.slowness  # a listed size knows no speed: there the response time stands for it
             if mean > 0:
                 aim = min(1.0, SLOW_OVER * usual / mean) if be.measured else usual / mean
-            aim *= 1.0 - e / n if n > 0 else 1.0
+            aim *= (1.0 - e / n) ** ERRED_POWER if n > 0 else 1.0
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * (SLOW_FALL if aim < be.slowness else SLOW_RISE))
         erred = [e / n for n, e in map(self._met, self._live().values()) if n >= 1.0]
         strained = max(median(erred) / STRAIN_ERRED if erred else 0.0, usual / (STRAIN_TIME * self.tightest))
@@ -515,12 +521,11 @@
             full[i] *= be.slowness
             if be.state in (RAMP, TRIAL):
                 full[i] = min(full[i], average * (TRIAL_SHARE if be.state == TRIAL else self._ease(be)))
-            age = self.now - be.started
-            if be.started > 0 and age < self.terms.warm_after:
+            if self._cold(be):
                 # Keeps the rule on cold servers.  Under strain they get nothing: proxies that avoid failing
                 # servers would turn to them, whatever their weight.  Harms while a deploy meets an overload.
-                share = self.terms.cold_share + (1 - self.terms.cold_share) * age / self.terms.warm_after
-                calm = max(0.0, 1.0 - COLD_CALM * self.strain) ** 2
+                share = self.terms.cold_share + (1 - self.terms.cold_share) * (self.now - be.started) / self.terms.warm_after
+                calm = max(0.0, 1.0 - COLD_CALM * self.strain)
                 full[i] *= share * min(1.0, COLD_PART * self.terms.fall_multiple) * calm
         warm = {i: c for i, c in full.items() if c > 0}
         return warm or dict.fromkeys(full, 1.0)
@@ -573,15 +578,20 @@
         above = SLACK + SLACK_FOR_PRICE * self.terms.cross_zone_price
         steps = [[(c * level, 0.0), (c * level * above, ABOVE_COST)] for c in room]
         flow = least_cost_flow(demand, steps, [[price(z, g) for g in self.zones] for z in self.zones])
+        warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
         for z, table in enumerate(self.tables):
-            near = [(g != z, self.now < self.cut[z][g], self._latency(z, g) or usual, g)
+            near = [(not any(i in warm for i in groups[g]), g != z, self.now < self.cut[z][g], self._latency(z, g) or usual, g)
                     for g in self.zones if groups[g]]
-            home = min(near)[3] if near else 0  # overflow: own group, else the nearest with servers (design)
+            home = min(near)[4] if near else 0  # overflow: own group, else the nearest with servers (design)
             flow[z][home] += max(0.0, demand[z] - sum(flow[z]))
             total = sum(flow[z])
             shares = [f / total if total > 0 else float(g == home) for g, f in enumerate(flow[z])]
             kept = [g for g in self.zones if shares[g] >= LEAST_SHARE and groups[g]]
-            table.want = {i: shares[g] * full[i] / room[g] for g in kept for i in groups[g]}
+            want = {i: shares[g] * full[i] / room[g] for g in kept for i in groups[g]}
+            if warm and not any(i in warm for i in want):
+                want = {i: c / sum(warm.values()) for i, c in warm.items()}
+            most = COLD_OVER * level / total if total > 0 else math.inf
+            table.want = {i: w if i in warm else min(w, most * full[i]) for i, w in want.items()}
         for g in self.zones:
             total = sum(flow[z][g] for z in self.zones)
             for i in groups[g]:
@@ -647,7 +657,8 @@
 
     def _send_delta(self, z: int, table: Table, touched: list[int]) -> None:
         users = self._users(z)
-        shut = any(self.bes[i].state in (OUT, GONE) for i in table.sent if i not in table.want)
+        drops = [self.bes[i] for i in table.sent if i not in table.want]
+        shut = any(be.state in (OUT, GONE) or self._cold(be) for be in drops)
         if not users or (table.pace == WAITING and not shut):
             return
         was, levels = dict(table.sent), dict(table.levels)
@@ -753,7 +764,7 @@
     (GONE, "seen"): (RAMP, Ladder._begin),
     (RAMP, "grown"): (WELL, None),
     (OUT, "due"): (TRIAL, Ladder._begin),
-    (TRIAL, "fine"): (RAMP, Ladder._begin),
+    (TRIAL, "fine"): (RAMP, Ladder._resume),
 }
 PACE = {
     (IDLE, "sent"): WAITING,
