--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -37,6 +37,7 @@
 SLACK, SLACK_FOR_PRICE = 0.05, 0.5  # how far above the mean level; more where crossing zones is priced higher
 SLOW_OVER = 1.5  # response time over the fleet's median up to which an estimate stays
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.3  # least factor; part of the way it goes each interval
+BASE_FALL, BASE_RISE = 0.5, 0.01  # part of the way a server's base time goes each interval
 KEEP = 0.35  # of what was counted, each interval
 SILENT_SHARE, FINE_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part if silent, at most if fine; least tries
 ERRED_POWER = 3  # of the answered part, in a server's estimate
@@ -95,6 +96,7 @@
     rate: float = 0.0  # own tries a second this interval
     load: list[float] = field(default_factory=list)
     measured: deque[float] = field(default_factory=lambda: deque(maxlen=AVERAGED))
+    base: float = 0.0  # its response time when little queues: a low mean
     slowness: float = 1.0
     cordoned: bool = False
     lost: int = 0  # probes in a row
@@ -486,22 +488,25 @@
 
     def _measure(self) -> None:
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
-        usual = self._usual_time()
         for be in self.bes.values():
             if be.load and be.rate > 0:
                 load = max(LOAD_FLOOR, sum(be.load) / len(be.load))
                 be.measured.append(be.rate / load / max(0.05, self.part[be.zone]))
             be.rate, be.load = 0.0, []
-            mean, (n, e) = be.times.mean(), self._met(be)
-            if mean > 0 and be.planned > 0 and be.held > QUEUE_OVER * mean * be.planned:
-                mean = be.held / be.planned
-            aim = be.slowness  # a listed size knows no speed: there the response time stands for it
+            mean = be.times.mean()
             if mean > 0:
-                aim = min(1.0, SLOW_OVER * usual / mean) if be.measured else usual / mean
-            aim *= (1.0 - e / n) ** ERRED_POWER if n > 0 else 1.0
-            be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * (SLOW_FALL if aim < be.slowness else SLOW_RISE))
-        erred = [e / n for n, e in map(self._met, self._live().values()) if n >= 1.0]
-        strained = max(median(erred) / STRAIN_ERRED if erred else 0.0, usual / (STRAIN_TIME * self.tightest))
+                be.base += (mean - be.base) * (1.0 if be.base == 0 else BASE_FALL if mean < be.base else BASE_RISE)
+        live = self._live()
+        usual = self._usual_time()
+        over = {i: max(be.times.mean(), self._queued(be)) / be.base for i, be in live.items() if be.base > 0}
+        bad = {i: e / n for i, be in live.items() for n, e in [self._met(be)] if n >= 1.0}
+        usual_over, usual_bad = (median(v.values()) if v else 0.0 for v in (over, bad))
+        for i, be in live.items():
+            aim = min(1.0, SLOW_OVER * usual_over / over[i]) if over.get(i, 0.0) > 0 else 1.0
+            aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** ERRED_POWER
+            step = SLOW_FALL if aim < be.slowness else SLOW_RISE
+            be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
+        strained = max(usual_bad / STRAIN_ERRED, usual / (STRAIN_TIME * self.tightest))
         before = self.let_in
         self.let_in += -LEVEL_DOWN * min(1.0, strained - 1.0) if strained > 1.0 else LEVEL_UP
         self.let_in = min(1.0, max(LEVEL_FLOOR, self.let_in))
@@ -510,12 +515,21 @@
         for be in self.bes.values():
             be.fade(KEEP)
 
+    def _queued(self, be: Be) -> float:
+        """The time its queue stands for, where probes show many more reqs held than the sums explain."""
+        shown = be.held > QUEUE_OVER * be.times.mean() * be.planned and be.planned > 0
+        return be.held / be.planned if shown else 0.0
+
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate now."""
         live = self._live() or {i: be for i, be in self.bes.items() if be.state == OUT}
         heard = {i: sum(be.measured) / len(be.measured) for i, be in live.items() if be.measured}
         unit = sum(heard.values()) / sum(live[i].weight for i in heard) if heard else 1.0
-        full = {i: heard.get(i, be.weight * unit) for i, be in live.items()}
+        bases = [be.base for be in live.values() if be.base > 0]
+        base = median(bases) if bases else 0.0  # a listed size knows no speed: response times stand for it
+        full = {
+            i: heard.get(i, be.weight * unit * (base / be.base if be.base > 0 else 1.0)) for i, be in live.items()
+        }
         average = sum(full.values()) / len(full) if full else 1.0
         for i, be in live.items():
             full[i] *= be.slowness
