--- a/cottonladder/decisions/interface.py
+++ b/cottonladder/decisions/interface.py
@@ -91,6 +91,7 @@
     drain_grace: float
     cold_share: float
     fall_multiple: float
+    avoids: bool
     warm_after: float
     cross_zone_price: float
     probe_price: float
--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -265,6 +265,7 @@
         self.beat = 0
         self.urgent = self.listed = False
         self.strain = 0.0  # errored part of all tries of late
+        self.strained = 0.0  # 1 and more: most servers show overload
         self.let_in = 1.0
         self.tightest = min(k.response_target for k in terms.kinds)
         self.cut = [[0.0] * terms.zones for _ in self.zones]  # a link is cut until
@@ -506,7 +507,7 @@
             aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** ERRED_POWER
             step = SLOW_FALL if aim < be.slowness else SLOW_RISE
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
-        strained = max(usual_bad / STRAIN_ERRED, usual / (STRAIN_TIME * self.tightest))
+        self.strained = strained = max(usual_bad / STRAIN_ERRED, usual / (STRAIN_TIME * self.tightest))
         before = self.let_in
         self.let_in += -LEVEL_DOWN * min(1.0, strained - 1.0) if strained > 1.0 else LEVEL_UP
         self.let_in = min(1.0, max(LEVEL_FLOOR, self.let_in))
@@ -539,7 +540,7 @@
                 # Keeps the rule on cold servers.  Under strain they get nothing: proxies that avoid failing
                 # servers would turn to them, whatever their weight.  Harms while a deploy meets an overload.
                 share = self.terms.cold_share + (1 - self.terms.cold_share) * (self.now - be.started) / self.terms.warm_after
-                calm = max(0.0, 1.0 - COLD_CALM * self.strain)
+                calm = max(0.0, 1.0 - max(COLD_CALM * self.strain * (2 if self.terms.avoids else 1), self.strained))
                 full[i] *= share * min(1.0, COLD_PART * self.terms.fall_multiple) * calm
         warm = {i: c for i, c in full.items() if c > 0}
         return warm or dict.fromkeys(full, 1.0)
--- a/cottonladder/simhost/codec.py
+++ b/cottonladder/simhost/codec.py
@@ -98,6 +98,7 @@
             drain_grace=_seconds(rules, "DrainGraceMs", where),
             cold_share=float(field(rules, "ColdFrom", _NUMBER, where)),
             fall_multiple=float(field(rules, "FallMultiple", _NUMBER, where)),
+            avoids=field(fam, "Strikes", _NUMBER, where, 0) > 0,
             warm_after=_seconds(rules, "WarmAfterMs", where),
             cross_zone_price=float(field(prices, "CrossZone", _NUMBER, where, 0.0)),
             probe_price=float(field(prices, "Probe", _NUMBER, where, 0.0)),
