--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -36,8 +36,8 @@
 CROSS_COST, ABOVE_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
 SLACK, SLACK_FOR_PRICE = 0.05, 0.5  # how far above the mean level; more where crossing zones is priced higher
 SLOW_OVER = 1.5  # response time over the fleet's median up to which an estimate stays
-SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.3  # least factor; part of the way it goes each interval
-BASE_FALL, BASE_RISE = 0.5, 0.01  # part of the way a server's base time goes each interval
+SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
+BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # part of the way a base time goes; how far speeds may differ
 KEEP = 0.35  # of what was counted, each interval
 SILENT_SHARE, FINE_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part if silent, at most if fine; least tries
 ERRED_POWER = 3  # of the answered part, in a server's estimate
@@ -48,7 +48,7 @@
 QUEUE_OVER = 2.0  # reqs held over rate, as a multiple of the response time heard, that shows a fresh queue
 CUT_SHARE, CUT_LEAST, CUT_CALM = 0.9, 4.0, 0.3  # errored part and tries that cut a link; the fleet's at most
 LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
-COLD_PART, COLD_CALM, COLD_OVER = 0.2, 6.0, 1.5  # of the fall-over multiple, how full a cold server is
+COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # of the fall-over multiple, how full a cold server is
 # made; 1/strain for none; how far over the mean level a table may fill it
 STRAIN_ERRED, STRAIN_TIME = 0.1, 0.6  # errored part, and time over the tightest target, that mean overload
 LEVEL_DOWN, LEVEL_UP, LEVEL_FLOOR, LEVEL_LEAST = 0.1, 0.1, 0.5, 0.1  # steps of what is let in, and its least, by kind
@@ -528,9 +528,10 @@
         unit = sum(heard.values()) / sum(live[i].weight for i in heard) if heard else 1.0
         bases = [be.base for be in live.values() if be.base > 0]
         base = median(bases) if bases else 0.0  # a listed size knows no speed: response times stand for it
-        full = {
-            i: heard.get(i, be.weight * unit * (base / be.base if be.base > 0 else 1.0)) for i, be in live.items()
-        }
+        full = {}
+        for i, be in live.items():
+            speed = base / be.base if be.base > 0 else 1.0
+            full[i] = heard.get(i, be.weight * unit * min(SPEED_SPAN, max(1 / SPEED_SPAN, speed)))
         average = sum(full.values()) / len(full) if full else 1.0
         for i, be in live.items():
             full[i] *= be.slowness
@@ -540,7 +541,8 @@
                 # Keeps the rule on cold servers.  Under strain they get nothing: proxies that avoid failing
                 # servers would turn to them, whatever their weight.  Harms while a deploy meets an overload.
                 share = self.terms.cold_share + (1 - self.terms.cold_share) * (self.now - be.started) / self.terms.warm_after
-                calm = max(0.0, 1.0 - max(COLD_CALM * self.strain * (2 if self.terms.avoids else 1), self.strained))
+                strain = max(COLD_CALM * self.strain, self.strained) if self.terms.avoids else self.strain
+                calm = max(0.0, 1.0 - strain)
                 full[i] *= share * min(1.0, COLD_PART * self.terms.fall_multiple) * calm
         warm = {i: c for i, c in full.items() if c > 0}
         return warm or dict.fromkeys(full, 1.0)
