--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -50,8 +50,8 @@
 LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
 COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # of the fall-over multiple, how full a cold server is
 # made; 1/strain for none; how far over the mean level a table may fill it
-STRAIN_ERRED, STRAIN_TIME = 0.1, 0.6  # errored part, and time over the tightest target, that mean overload
-LEVEL_DOWN, LEVEL_UP, LEVEL_FLOOR, LEVEL_LEAST = 0.1, 0.1, 0.5, 0.1  # steps of what is let in, and its least, by kind
+STRAIN_ERRED, STRAIN_TIME = 0.1, 0.5  # errored part, and time over the tightest target, that mean overload
+LEVEL_DOWN, LEVEL_UP, LEVEL_CALM, LEVEL_FLOOR, LEVEL_LEAST = 0.1, 0.1, 0.8, 0.5, 0.1  # steps of what is let in, and its least, by kind
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
 SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
 BIN_STEP, BINS = 1.5, 16  # response times: ratio of neighbouring bins, and how many
@@ -374,7 +374,8 @@
 
     def _ingress(self, u: it.Ingress) -> None:
         if u.proxy in self.proxies and u.span > 0:
-            self.proxies[u.proxy].came[u.kind] = u.reqs / u.span
+            came, part = self.proxies[u.proxy].came, min(1.0, u.span / INTERVAL)
+            came[u.kind] = came.get(u.kind, u.reqs / u.span) * (1 - part) + u.reqs / u.span * part
 
     def _probe(self) -> None:
         """All listed servers, as often as a small part of a point pays for: silence and queues show at once
@@ -509,7 +510,7 @@
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
         self.strained = strained = max(usual_bad / STRAIN_ERRED, usual / (STRAIN_TIME * self.tightest))
         before = self.let_in
-        self.let_in += -LEVEL_DOWN * min(1.0, strained - 1.0) if strained > 1.0 else LEVEL_UP
+        self.let_in += -LEVEL_DOWN if strained > 1.0 else LEVEL_UP if strained < LEVEL_CALM else 0.0
         self.let_in = min(1.0, max(LEVEL_FLOOR, self.let_in))
         if (before < 1.0) != (self.let_in < 1.0):
             self._say(f"levels {'on' if self.let_in < 1 else 'off'}: strain {strained:.2f}, time {usual:.2f}")
@@ -697,7 +698,7 @@
             orders.append(it.SetLine(z, i, 0.0))
             del table.sent[i]
         for k, share in self._levels().items():
-            if abs(share - table.levels.get(k, -1.0)) > past / 2 or (share >= 1.0 > table.levels.get(k, 1.0)):
+            if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
                 table.levels[k] = share
                 orders.append(it.Level(z, self._let_in(z, k, share), 1 << k, self._further(k)))
         return orders
