--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -374,7 +374,7 @@
 
     def _ingress(self, u: it.Ingress) -> None:
         if u.proxy in self.proxies and u.span > 0:
-            came, part = self.proxies[u.proxy].came, min(1.0, u.span / INTERVAL)
+            came, part = self.proxies[u.proxy].came, 1.0
             came[u.kind] = came.get(u.kind, u.reqs / u.span) * (1 - part) + u.reqs / u.span * part
 
     def _probe(self) -> None:
