--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -26,7 +26,7 @@
 
 from . import interface as it
 
-INTERVAL = 1.0  # s between two solutions (design)
+INTERVAL = 2.0  # s between two solutions (design)
 BEAT = 0.25  # s between two looks at what is due
 ANSWER_WAIT = 3.0  # s a table waits for its mark's answers (design)
 MOVE = 0.1  # part of a weight below which it stays (design)
@@ -38,7 +38,7 @@
 SLOW_OVER = 1.5  # response time over the fleet's median up to which an estimate stays
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
 BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # part of the way a base time goes; how far speeds may differ
-KEEP = 0.5  # of what was counted, each interval
+KEEP = 0.35  # of what was counted, each interval
 SILENT_SHARE, FINE_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part if silent, at most if fine; least tries
 ERRED_POWER = 3  # of the answered part, in a server's estimate
 OUT_MOST = 0.34  # of the fleet's listed capacity that may be shut out for health
