--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -51,7 +51,6 @@
 COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # of the fall-over multiple, how full a cold server is
 # made; 1/strain for none; how far over the mean level a table may fill it
 STRAIN_ERRED, STRAIN_TIME = 0.1, 0.5  # errored part, and time over the tightest target, that mean overload
-FURTHER_CALM = 0.7  # of overload, under which reqs that may run again are tried once more
 LEVEL_DOWN, LEVEL_UP, LEVEL_CALM, LEVEL_FLOOR, LEVEL_LEAST = 0.1, 0.1, 0.8, 0.5, 0.1  # steps of what is let in, and its least, by kind
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
 SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
@@ -127,7 +126,7 @@
 
     sent: dict[int, float] = field(default_factory=dict)
     want: dict[int, float] = field(default_factory=dict)
-    levels: dict[int, tuple[float, it.Further]] = field(default_factory=dict)
+    levels: dict[int, float] = field(default_factory=dict)
     pace: str = IDLE
     mark: int = -1
     asked: list[int] = field(default_factory=list)
@@ -699,10 +698,9 @@
             orders.append(it.SetLine(z, i, 0.0))
             del table.sent[i]
         for k, share in self._levels().items():
-            was, further = table.levels.get(k, (-1.0, it.Further.NEVER)), self._further(k)
-            if abs(share - was[0]) > past or (share >= 1.0 > was[0]) or further != was[1]:
-                table.levels[k] = (share, further)
-                orders.append(it.Level(z, self._let_in(z, k, share), 1 << k, further))
+            if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
+                table.levels[k] = share
+                orders.append(it.Level(z, self._let_in(z, k, share), 1 << k, self._further(k)))
         return orders
 
     # ---- levels and further tries
@@ -710,8 +708,10 @@
     def _levels(self) -> dict[int, float]:
         """What is let in of each kind: the kinds worth least for their response target are denied first."""
         kinds = self.terms.kinds
+        if self.terms.levels == "none":
+            return {}
         came = [sum(p.came.get(k, 0.0) for p in self.proxies.values()) for k in range(len(kinds))]
-        deny = (1.0 - self.let_in) * sum(came) if self.terms.levels != "none" else 0.0
+        deny = (1.0 - self.let_in) * sum(came)
         shares = {}
         for k in sorted(range(len(kinds)), key=lambda k: kinds[k].importance / kinds[k].response_target):
             denied = min(deny, came[k] * (1.0 - LEVEL_LEAST))
@@ -722,7 +722,7 @@
     def _let_in(self, z: int, k: int, share: float) -> float:
         """A share as the site's proxies take it; a rate is the same for each proxy of a table, so the
         busiest are cut down to it until the zone's sum fits."""
-        if self.terms.levels != "rps":
+        if self.terms.levels == "ratio":
             return share
         rates = sorted(p.came.get(k, 0.0) for p in self.proxies.values() if p.zone == z)
         left = share * sum(rates)
@@ -733,12 +733,7 @@
         return 1e6
 
     def _further(self, k: int) -> it.Further:
-        """One more try after any failure where it cannot take effect twice and most servers are calm; else only
-        on proof that the first never ran."""
-        kind = self.terms.kinds[k]
-        once = kind.unique_everywhere and kind.unique_for > kind.client_timeout
-        if kind.repeat == it.Repeat.REPLAYABLE or (kind.repeat == it.Repeat.UNIQUED and once):
-            return it.Further.ONCE if self.strained < FURTHER_CALM else it.Further.NEVER_RAN
+        """A further try only on proof that the first never ran: this can never take effect twice."""
         return it.Further.NEVER_RAN
 
     # ---- sites with slices
