--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -50,7 +50,7 @@
 LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
 COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # of the fall-over multiple, how full a cold server is
 # made; 1/strain for none; how far over the mean level a table may fill it
-STRAIN_ERRED, STRAIN_TIME = 0.1, 0.5  # errored part, and time over the tightest target, that mean overload
+STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errored part, and time over the tightest target, that mean overload
 LEVEL_DOWN, LEVEL_UP, LEVEL_CALM, LEVEL_FLOOR, LEVEL_LEAST = 0.1, 0.1, 0.8, 0.5, 0.1  # steps of what is let in, and its least, by kind
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
 SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
@@ -490,8 +490,10 @@
 
     def _measure(self) -> None:
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
+        loads = []
         for be in self.bes.values():
             if be.load and be.rate > 0:
+                loads.append(sum(be.load) / len(be.load))
                 load = max(LOAD_FLOOR, sum(be.load) / len(be.load))
                 be.measured.append(be.rate / load / max(0.05, self.part[be.zone]))
             be.rate, be.load = 0.0, []
@@ -508,7 +510,12 @@
             aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** ERRED_POWER
             step = SLOW_FALL if aim < be.slowness else SLOW_RISE
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
-        self.strained = strained = max(usual_bad / STRAIN_ERRED, usual / (STRAIN_TIME * self.tightest))
+        held = [(be.held, be.planned) for be in live.values() if be.held >= 0 and be.planned > 0]
+        queue = sum(h for h, _ in held) / sum(p for _, p in held) if held else 0.0  # s a req stays (Little)
+        full = median(loads) / STRAIN_LOAD if loads else 0.0
+        self.strained = strained = max(
+            usual_bad / STRAIN_ERRED, max(usual, queue) / (STRAIN_TIME * self.tightest), full
+        )
         before = self.let_in
         self.let_in += -LEVEL_DOWN if strained > 1.0 else LEVEL_UP if strained < LEVEL_CALM else 0.0
         self.let_in = min(1.0, max(LEVEL_FLOOR, self.let_in))
