Levels step by how far overload shows; weights chase times less in a jam

Cause: small level steps let jams stand for ten seconds, and in a jam chance spread the weights tenfold.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -51,7 +51,7 @@
 COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # of the fall-over multiple, how full a cold server is
 # made; 1/strain for none; how far over the mean level a table may fill it
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errored part, and time over the tightest target, that mean overload
-LEVEL_DOWN, LEVEL_UP, LEVEL_CALM, LEVEL_FLOOR, LEVEL_LEAST = 0.1, 0.1, 0.8, 0.5, 0.1  # steps of what is let in, and its least, by kind
+LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM, LEVEL_FLOOR, LEVEL_LEAST = 0.3, 0.25, 0.1, 0.8, 0.4, 0.1  # steps of what is let in, and its least, by kind
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
 SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
 BIN_STEP, BINS = 1.5, 16  # response times: ratio of neighbouring bins, and how many
@@ -505,9 +505,10 @@
         over = {i: max(be.times.mean(), self._queued(be)) / be.base for i, be in live.items() if be.base > 0}
         bad = {i: e / n for i, be in live.items() for n, e in [self._met(be)] if n >= 1.0}
         usual_over, usual_bad = (median(v.values()) if v else 0.0 for v in (over, bad))
+        jam = max(1.0, self.strained)  # in a jam times lie far apart by chance: weights must not chase them
         for i, be in live.items():
-            aim = min(1.0, SLOW_OVER * usual_over / over[i]) if over.get(i, 0.0) > 0 else 1.0
-            aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** ERRED_POWER
+            aim = min(1.0, jam * SLOW_OVER * usual_over / over[i]) if over.get(i, 0.0) > 0 else 1.0
+            aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** (ERRED_POWER / jam)
             step = SLOW_FALL if aim < be.slowness else SLOW_RISE
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
         held = [(be.held, be.planned) for be in live.values() if be.held >= 0 and be.planned > 0]
@@ -517,7 +518,8 @@
             usual_bad / STRAIN_ERRED, max(usual, queue) / (STRAIN_TIME * self.tightest), full
         )
         before = self.let_in
-        self.let_in += -LEVEL_DOWN if strained > 1.0 else LEVEL_UP if strained < LEVEL_CALM else 0.0
+        down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) if strained > 1.0 else 0.0
+        self.let_in += LEVEL_UP if strained < LEVEL_CALM else -down
         self.let_in = min(1.0, max(LEVEL_FLOOR, self.let_in))
         if (before < 1.0) != (self.let_in < 1.0):
             self._say(f"levels {'on' if self.let_in < 1 else 'off'}: strain {strained:.2f}, time {usual:.2f}")
