--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -94,7 +94,7 @@
     due: float = 0.0
     wait: float = OUT_WAIT
     rate: float = 0.0  # own tries a second this interval
-    load: list[float] = field(default_factory=list)
+    load: float = -1.0  # as reported, smoothed
     measured: deque[float] = field(default_factory=lambda: deque(maxlen=AVERAGED))
     base: float = 0.0  # its response time when little queues: a low mean
     slowness: float = 1.0
@@ -370,7 +370,7 @@
                 start, least, last = self.now, math.inf, least
             self.least[t.zone][be.zone] = (start, min(least, t.took), last)
         if "util" in t.report:
-            be.load.append(t.report["util"])
+            be.load = t.report["util"] if be.load < 0 else (be.load + t.report["util"]) / 2
 
     def _ingress(self, u: it.Ingress) -> None:
         if u.proxy in self.proxies and u.span > 0:
@@ -442,6 +442,8 @@
         seen = {i: self._met(be) for i, be in live.items()}
         tries, errored = sum(n for n, _ in seen.values()), sum(e for _, e in seen.values())
         self.strain = errored / tries if tries > 0 else 0.0
+        was, self.strained = self.strained, self._overload(live)
+        self.urgent |= was < 1.0 <= self.strained
         shut = sum(be.weight for be in self.bes.values() if be.state == OUT)
         most = OUT_MOST * (shut + sum(be.weight for be in live.values()))
         for i, be in self.bes.items():
@@ -490,13 +492,10 @@
 
     def _measure(self) -> None:
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
-        loads = []
         for be in self.bes.values():
-            if be.load and be.rate > 0:
-                loads.append(sum(be.load) / len(be.load))
-                load = max(LOAD_FLOOR, sum(be.load) / len(be.load))
-                be.measured.append(be.rate / load / max(0.05, self.part[be.zone]))
-            be.rate, be.load = 0.0, []
+            if be.load >= 0 and be.rate > 0:
+                be.measured.append(be.rate / max(LOAD_FLOOR, be.load) / max(0.05, self.part[be.zone]))
+            be.rate = 0.0
             mean = be.times.mean()
             if mean > 0:
                 be.base += (mean - be.base) * (1.0 if be.base == 0 else BASE_FALL if mean < be.base else BASE_RISE)
@@ -511,12 +510,7 @@
             aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** (ERRED_POWER / jam)
             step = SLOW_FALL if aim < be.slowness else SLOW_RISE
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
-        held = [(be.held, be.planned) for be in live.values() if be.held >= 0 and be.planned > 0]
-        queue = sum(h for h, _ in held) / sum(p for _, p in held) if held else 0.0  # s a req stays (Little)
-        full = median(loads) / STRAIN_LOAD if loads else 0.0
-        self.strained = strained = max(
-            usual_bad / STRAIN_ERRED, max(usual, queue) / (STRAIN_TIME * self.tightest), full
-        )
+        strained = self.strained
         before = self.let_in
         down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) if strained > 1.0 else 0.0
         self.let_in += LEVEL_UP if strained < LEVEL_CALM else -down
@@ -526,6 +520,19 @@
         for be in self.bes.values():
             be.fade(KEEP)
 
+    def _overload(self, live: dict[int, Be]) -> float:
+        """How far most servers show overload, 1 and more being overload: in errors, in time, in reqs held over
+        their rate (Little's law; the freshest), or in their load reports."""
+        bad = [e / n for n, e in map(self._met, live.values()) if n >= 1.0]
+        held = [(be.held, be.planned) for be in live.values() if be.held >= 0 and be.planned > 0]
+        queue = sum(h for h, _ in held) / sum(p for _, p in held) if held else 0.0
+        loads = [be.load for be in live.values() if be.load >= 0]
+        return max(
+            median(bad) / STRAIN_ERRED if bad else 0.0,
+            max(self._usual_time(), queue) / (STRAIN_TIME * self.tightest),
+            median(loads) / STRAIN_LOAD if loads else 0.0,
+        )
+
     def _queued(self, be: Be) -> float:
         """The time its queue stands for, where probes show many more reqs held than the sums explain."""
         shown = be.held > QUEUE_OVER * be.times.mean() * be.planned and be.planned > 0
