--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -21,129 +21,93 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from statistics import median
 
 from . import interface as it
 
-INTERVAL = 2.0  # s between two solutions (design)
-BEAT = 0.25  # s between two looks at what is due
-ANSWER_WAIT = 3.0  # s a table waits for its mark's answers (design)
+INTERVAL, BEAT, ANSWER_WAIT = 2.0, 0.25, 3.0  # s: between solutions (design), looks; for a mark's answers (design)
 MOVE = 0.1  # part of a weight below which it stays (design)
 LOAD_FLOOR, AVERAGED = 0.1, 10  # least load report that counts; intervals in an estimate (design)
-NEW_SHARE = 0.25  # of average, where a new server starts (design)
+NEW_SHARE = 0.25  # of average, where a new server starts, doubled each interval (design)
 LINK_OVER, LINK_SPAN = 2.0, 5.0  # over the fleet's median a link goes; s its least time is taken over (design)
 CROSS_COST, ABOVE_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
 SLACK, SLACK_FOR_PRICE = 0.05, 0.5  # how far above the mean level; more where crossing zones is priced higher
-SLOW_OVER = 1.5  # response time over the fleet's median up to which an estimate stays
+LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
+SLOW_OVER, ERRED_POWER = 1.5, 3.0  # time over base, against the fleet's, that is left alone; of the answered part
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
 BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # part of the way a base time goes; how far speeds may differ
-KEEP = 0.35  # of what was counted, each interval
+KEEP, BIN_STEP, BINS = 0.35, 1.5, 16  # of what was counted, each interval; ratio of time bins; how many
 SILENT_SHARE, FINE_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part if silent, at most if fine; least tries
-ERRED_POWER = 3  # of the answered part, in a server's estimate
-OUT_MOST = 0.34  # of the fleet's listed capacity that may be shut out for health
-OUT_WAIT, OUT_WAIT_MOST = 4.0, 16.0  # s until a trial, doubled each time it fails
+OUT_MOST, OUT_WAIT, OUT_WAIT_MOST = 0.34, 4.0, 16.0  # of capacity shut out; s until a trial, doubled if it fails
 TRIAL_SHARE, TRIAL_TRIES = 0.1, 3.0  # weight of a trial, of average; tries that end it
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what probing may cost; lost ones in a row
 QUEUE_OVER = 2.0  # reqs held over rate, as a multiple of the response time heard, that shows a fresh queue
-CUT_SHARE, CUT_LEAST, CUT_CALM = 0.9, 4.0, 0.3  # errored part and tries that cut a link; the fleet's at most
-LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
-COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # of the fall-over multiple, how full a cold server is
-# made; 1/strain for none; how far over the mean level a table may fill it
-STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errored part, and time over the tightest target, that mean overload
-LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM, LEVEL_FLOOR, LEVEL_LEAST = 0.3, 0.25, 0.1, 0.8, 0.4, 0.1  # steps of what is let in, and its least, by kind
+CUT_SHARE, CUT_LEAST, CUT_CALM = 0.9, 4e9, 0.3  # errored part and tries that cut a link; the fleet's at most
+COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # part of the multiple; 1/errors for none; over the mean level
+STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
+LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.3, 0.25, 0.1, 0.8  # steps of what is let in; overload to rise at
+LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
 SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
-BIN_STEP, BINS = 1.5, 16  # response times: ratio of neighbouring bins, and how many
-
 ABSENT, WELL, RAMP, OUT, TRIAL, GONE = "absent", "well", "ramp", "out", "trial", "gone"
-LIVE = (WELL, RAMP, TRIAL)
-IDLE, WAITING = "idle", "waiting"
+LIVE, IDLE, WAITING = (WELL, RAMP, TRIAL), "idle", "waiting"
 
 
-class Times:
-    """Response times in coarse bins, halved each interval."""
+class Be:
+    """What one manager holds of a server; tries and errored are by zone of the proxies."""
 
-    def __init__(self, least: float) -> None:
-        self.least, self.bins = least, [0.0] * BINS
+    def __init__(self, zones: int, least: float) -> None:
+        self.state, self.zone, self.weight, self.started = ABSENT, 0, 1.0, 0.0
+        self.tries, self.errored = [0.0] * zones, [0.0] * zones
+        self.least, self.bins = least, [0.0] * BINS  # response times in coarse bins
+        self.since, self.due, self.wait = 0.0, 0.0, OUT_WAIT  # its ramp's start; its trial's time
+        self.rate, self.load = 0.0, -1.0  # own tries a second this interval; load report, smoothed
+        self.measured: deque[float] = deque(maxlen=AVERAGED)
+        self.base, self.slowness = 0.0, 1.0  # its time when little queues; the factor for trouble
+        self.lost, self.held, self.planned = 0, -1.0, 0.0  # probes in a row; reqs by probes; reqs a second sent
+        self.cordoned = False
 
     def add(self, took: float, tries: float) -> None:
         place = int(math.log(max(took, self.least) / self.least) / math.log(BIN_STEP))
         self.bins[min(place, BINS - 1)] += tries
 
     def mean(self) -> float:
-        """Their geometric mean, or 0 where too little was heard."""
+        """The geometric mean of its response times, or 0 where too little was heard."""
         total = sum(self.bins)
-        if total < 2.0:
-            return 0.0
-        return float(self.least * BIN_STEP ** (sum((i + 0.5) * n for i, n in enumerate(self.bins)) / total))
-
-
-@dataclass
-class Be:
-    """What one manager holds of a server; tries and errored are by zone of the proxies."""
-
-    zone: int
-    times: Times
-    tries: list[float]
-    errored: list[float]
-    state: str = ABSENT
-    weight: float = 1.0
-    started: float = 0.0
-    since: float = 0.0  # when its ramp began
-    due: float = 0.0
-    wait: float = OUT_WAIT
-    rate: float = 0.0  # own tries a second this interval
-    load: float = -1.0  # as reported, smoothed
-    measured: deque[float] = field(default_factory=lambda: deque(maxlen=AVERAGED))
-    base: float = 0.0  # its response time when little queues: a low mean
-    slowness: float = 1.0
-    cordoned: bool = False
-    lost: int = 0  # probes in a row
-    held: float = -1.0  # reqs in hand by its probes, smoothed
-    planned: float = 0.0  # reqs a second that the last solution sends it, all managers' counted
+        place = sum((i + 0.5) * n for i, n in enumerate(self.bins)) / max(total, 1.0)
+        return float(self.least * BIN_STEP**place) if total >= 2.0 else 0.0
 
     def fade(self, keep: float) -> None:
-        self.tries = [n * keep for n in self.tries]
-        self.errored = [n * keep for n in self.errored]
-        self.times.bins = [n * keep for n in self.times.bins]
+        self.tries, self.errored, self.bins = ([n * keep for n in v] for v in (self.tries, self.errored, self.bins))
 
 
-@dataclass
 class Proxy:
-    zone: int
-    rate: float
-    bound: bool = False
-    came: dict[int, float] = field(default_factory=dict)  # reqs a second by kind, as last heard
+    def __init__(self, zone: int, rate: float) -> None:
+        self.zone, self.rate, self.bound = zone, rate, False
+        self.came: dict[int, float] = {}  # reqs a second by kind, as last heard
 
     def demand(self, kinds: int) -> float:
         return sum(self.came.values()) if len(self.came) == kinds else self.rate
 
 
-@dataclass
 class Table:
-    """What the proxies of a zone were sent, what they should hold, and whether they have answered."""
+    """What a zone's proxies were sent, what they should hold, and who has yet to answer its mark."""
 
-    sent: dict[int, float] = field(default_factory=dict)
-    want: dict[int, float] = field(default_factory=dict)
-    levels: dict[int, float] = field(default_factory=dict)
-    pace: str = IDLE
-    mark: int = -1
-    asked: list[int] = field(default_factory=list)
-    answers: int = 0
-    at: float = 0.0
+    def __init__(self) -> None:
+        self.sent: dict[int, float] = {}
+        self.want: dict[int, float] = {}
+        self.levels: dict[int, float] = {}
+        self.pace, self.mark, self.at, self.answers = IDLE, -1, 0.0, 0
+        self.asked: list[int] = []
 
 
 def least_cost_flow(
     demand: list[float], steps: list[list[tuple[float, float]]], cost: list[list[float | None]]
 ) -> list[list[float]]:
-    """Successive cheapest paths from zones to groups: flow[z][g].
+    """Successive cheapest paths from zones to groups: flow[z][g]; what finds no room is left to overflow.
 
-    steps[g] are the group's arcs to the sink (capacity, cost); cost[z][g] is None where there is no link.
-    What finds no room is left out; the caller lets it overflow.
-    """
-    zones, groups = len(demand), len(steps)
-    sink = 1 + zones + groups
+    steps[g] are the group's arcs to the sink (capacity, cost); cost[z][g] is None where there is no link."""
+    zones, groups, sink = len(demand), len(steps), 1 + len(demand) + len(steps)
     ends: list[tuple[int, int, float]] = []  # from, to, cost; an arc's reverse is its neighbour (index ^ 1)
     room: list[float] = []
 
@@ -183,16 +147,14 @@
 class Gate:
     """The one way out for orders to proxies; it keeps the ledger of waiting lines and of messages.
 
-    An upper bound of what waits comes from the marks' answers: what went before an answered mark has left.
-    Without answers the ledger drains as if the channel were SLOWEST_CHANNEL times slower than stated.
-    """
+    What went before an answered mark has left; without answers the channel is taken for SLOWEST_CHANNEL times
+    slower than stated.  So no path can break the queue rule; harms only by holding deltas back."""
 
     def __init__(self, terms: it.Terms) -> None:
-        self.terms = terms
+        self.terms, self.number = terms, 0
         self.at = self.waiting = self.total = 0.0
         self.before: dict[int, float] = {}  # mark -> lines ordered before it
         self.written: dict[int, deque[float]] = {}
-        self.number = 0
         self.orders: list[it.Order] = []
         self.lines: dict[int, int] = {}
 
@@ -221,7 +183,7 @@
         return sum(lines) + messages * (self.terms.head_lines + 1)
 
     def put(self, orders: list[it.Order], cost: dict[int, int], rules: bool) -> bool:
-        """Take the orders if they fit; cost is lines by proxy.  Heads and marks are counted here."""
+        """Take the orders if they fit; cost is lines by proxy, to which heads and marks are added."""
         fresh = [p for p in cost if p not in self.lines]
         lines = self._count(self.lines.values(), len(self.lines)) + self._count(cost.values(), len(fresh))
         room = self.terms.waiting_most * (ROOM_RULES if rules else ROOM_DELTAS)
@@ -252,22 +214,17 @@
     """One manager's decisions."""
 
     def __init__(self, terms: it.Terms) -> None:
-        self.terms, self.zones = terms, range(terms.zones)
+        self.terms, self.zones, self.gate = terms, range(terms.zones), Gate(terms)
         self.uniform: Callable[[float, float], float] = random.Random(terms.seed).uniform
+        self.tightest = min(k.response_target for k in terms.kinds)
         self.bes: dict[int, Be] = {}
         self.proxies: dict[int, Proxy] = {}
         self.tables = [Table() for _ in self.zones]
         self.slices: dict[int, dict[int, float]] = {}
-        self.gate = Gate(terms)
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
-        self.follow_wait = 0.5
-        self.beat = 0
-        self.urgent = self.listed = False
-        self.strain = 0.0  # errored part of all tries of late
-        self.strained = 0.0  # 1 and more: most servers show overload
-        self.let_in = 1.0
-        self.tightest = min(k.response_target for k in terms.kinds)
+        self.beat, self.follow_wait, self.urgent, self.listed = 0, 0.5, False, False
+        self.strain, self.strained, self.let_in = 0.0, 0.0, 1.0  # errored part; overload from 1; what is let in
         self.cut = [[0.0] * terms.zones for _ in self.zones]  # a link is cut until
         self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, the last's
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
@@ -317,10 +274,7 @@
                 if index not in named:
                     self._step(index, "leaving", "not listed")
         for e in listing.entries:
-            if e.be not in self.bes:
-                none = [0.0] * self.terms.zones
-                self.bes[e.be] = Be(e.zone, Times(self.tightest / 64), none, none[:])
-            be = self.bes[e.be]
+            be = self.bes.setdefault(e.be, Be(self.terms.zones, self.tightest / 64))
             age, anew = self.now - e.started, e.started > be.started
             be.zone, be.weight, be.started = e.zone, max(e.weight, 1e-6), e.started
             if e.mode != it.Mode.READY:
@@ -364,7 +318,7 @@
         be.errored[t.zone] += t.errored
         be.rate += t.tries / INTERVAL
         if t.tries > t.errored and t.took > 0:
-            be.times.add(t.took, t.tries - t.errored)
+            be.add(t.took, t.tries - t.errored)
             start, least, last = self.least[t.zone][be.zone]
             if self.now - start >= LINK_SPAN / 2:
                 start, least, last = self.now, math.inf, least
@@ -374,13 +328,11 @@
 
     def _ingress(self, u: it.Ingress) -> None:
         if u.proxy in self.proxies and u.span > 0:
-            came, part = self.proxies[u.proxy].came, 1.0
-            came[u.kind] = came.get(u.kind, u.reqs / u.span) * (1 - part) + u.reqs / u.span * part
+            self.proxies[u.proxy].came[u.kind] = u.reqs / u.span
 
     def _probe(self) -> None:
-        """All listed servers, as often as a small part of a point pays for: silence and queues show at once
-        there, seconds before the sums.  Harms where probes wait in the queue: then overload looks silent, and
-        only the cap on what may be out helps."""
+        """All listed servers: silence and queues show there seconds before the sums.  Harms where probes wait in
+        the queue, since overload then looks silent; the cap on what may be out bounds it."""
         listed = [i for i, be in self.bes.items() if be.state in (OUT, *LIVE)]
         reqs = max(1.0, sum(p.demand(len(self.terms.kinds)) for p in self.proxies.values()))
         price = len(listed) * self.terms.probe_price / reqs  # the part of all traffic cancels the managers out
@@ -426,17 +378,15 @@
         return sum(be.tries[z] for z in whole), sum(be.errored[z] for z in whole)
 
     def _usual_time(self) -> float:
-        means = [m for be in self._live().values() if (m := be.times.mean()) > 0]
+        means = [m for be in self._live().values() if (m := be.mean()) > 0]
         return median(means) if means else 0.0
 
     def _judge(self) -> None:
         """Symptoms to lifecycle steps, each beat.
 
-        Shut out are servers that hardly answer at all, and those that fail fast: errors while what they do
-        answer comes at the usual speed.  Errors with slow answers are overload or a slow machine: there the
-        estimate falls, since shutting out would push the rest over.  Could harm where a few unlucky sums make
-        a good server look silent; the cap on what may be out and the trial bound that.
-        """
+        Shut out are servers that hardly answer at all.  Errors beside answers are overload, a slow machine or
+        one that fails a part: there the estimate falls, as shutting out would push the rest over.  Harms where
+        unlucky sums make a good server look silent; the cap on what may be out and the trial bound that."""
         self._judge_links()
         live = self._live()
         seen = {i: self._met(be) for i, be in live.items()}
@@ -463,10 +413,8 @@
                 self._step(i, "due", "waited")
 
     def _judge_links(self) -> None:
-        """Guards against a zone cut off: most tries of one zone at a whole other group err.
-
-        Would harm if a group errs for its own zone too: then its servers are judged, not the link.
-        """
+        """Guards against a zone cut off: nearly all tries of one zone at another group err while the fleet is
+        calm.  Should also cover a broken path; harms if a whole group errs, whose servers are judged instead."""
         for g in self.zones:
             group = [be for be in self.bes.values() if be.zone == g]
             met = [(sum(be.tries[z] for be in group), sum(be.errored[z] for be in group)) for z in self.zones]
@@ -496,12 +444,12 @@
             if be.load >= 0 and be.rate > 0:
                 be.measured.append(be.rate / max(LOAD_FLOOR, be.load) / max(0.05, self.part[be.zone]))
             be.rate = 0.0
-            mean = be.times.mean()
-            if mean > 0:
-                be.base += (mean - be.base) * (1.0 if be.base == 0 else BASE_FALL if mean < be.base else BASE_RISE)
+            if (mean := be.mean()) > 0:
+                step = 1.0 if be.base == 0 else BASE_FALL if mean < be.base else BASE_RISE
+                be.base += (mean - be.base) * step
         live = self._live()
         usual = self._usual_time()
-        over = {i: max(be.times.mean(), self._queued(be)) / be.base for i, be in live.items() if be.base > 0}
+        over = {i: max(be.mean(), self._queued(be)) / be.base for i, be in live.items() if be.base > 0}
         bad = {i: e / n for i, be in live.items() for n, e in [self._met(be)] if n >= 1.0}
         usual_over, usual_bad = (median(v.values()) if v else 0.0 for v in (over, bad))
         jam = max(1.0, self.strained)  # in a jam times lie far apart by chance: weights must not chase them
@@ -510,8 +458,7 @@
             aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** (ERRED_POWER / jam)
             step = SLOW_FALL if aim < be.slowness else SLOW_RISE
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
-        strained = self.strained
-        before = self.let_in
+        before, strained = self.let_in, self.strained
         down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) if strained > 1.0 else 0.0
         self.let_in += LEVEL_UP if strained < LEVEL_CALM else -down
         self.let_in = min(1.0, max(LEVEL_FLOOR, self.let_in))
@@ -527,15 +474,13 @@
         held = [(be.held, be.planned) for be in live.values() if be.held >= 0 and be.planned > 0]
         queue = sum(h for h, _ in held) / sum(p for _, p in held) if held else 0.0
         loads = [be.load for be in live.values() if be.load >= 0]
-        return max(
-            median(bad) / STRAIN_ERRED if bad else 0.0,
-            max(self._usual_time(), queue) / (STRAIN_TIME * self.tightest),
-            median(loads) / STRAIN_LOAD if loads else 0.0,
-        )
+        erred, load = median(bad) if bad else 0.0, median(loads) if loads else 0.0
+        time = max(self._usual_time(), queue) / self.tightest
+        return max(erred / STRAIN_ERRED, time / STRAIN_TIME, load / STRAIN_LOAD)
 
     def _queued(self, be: Be) -> float:
         """The time its queue stands for, where probes show many more reqs held than the sums explain."""
-        shown = be.held > QUEUE_OVER * be.times.mean() * be.planned and be.planned > 0
+        shown = be.held > QUEUE_OVER * be.mean() * be.planned and be.planned > 0
         return be.held / be.planned if shown else 0.0
 
     def _estimates(self) -> dict[int, float]:
@@ -555,24 +500,20 @@
             if be.state in (RAMP, TRIAL):
                 full[i] = min(full[i], average * (TRIAL_SHARE if be.state == TRIAL else self._ease(be)))
             if self._cold(be):
-                # Keeps the rule on cold servers.  Under strain they get nothing: proxies that avoid failing
-                # servers would turn to them, whatever their weight.  Harms while a deploy meets an overload.
-                share = self.terms.cold_share + (1 - self.terms.cold_share) * (self.now - be.started) / self.terms.warm_after
+                # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to the cold ones whatever
+                # their weight: there they get no line under strain.  Harms while a deploy meets an overload.
+                age = (self.now - be.started) / self.terms.warm_after
+                share = self.terms.cold_share + (1.0 - self.terms.cold_share) * age
                 strain = max(COLD_CALM * self.strain, self.strained) if self.terms.avoids else self.strain
-                calm = max(0.0, 1.0 - strain)
-                full[i] *= share * min(1.0, COLD_PART * self.terms.fall_multiple) * calm
-        warm = {i: c for i, c in full.items() if c > 0}
-        return warm or dict.fromkeys(full, 1.0)
+                full[i] *= share * min(1.0, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
+        return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
     # ---- the flow
 
     def _demand(self) -> tuple[list[float], list[float]]:
-        """Own demand by zone, and that of proxies that other managers hold (guessed).
-
-        The design scales capacities by a manager's part of the tries.  Proxies are dealt by zone, so one
-        part for all groups would send most tries across zones; the part is taken zone by zone instead, by
-        putting the proxies that are missing where they are missing.
-        """
+        """Own demand by zone, and a guess at that of other managers' proxies.  One part of the tries for all
+        groups (design) would send most tries across zones, since proxies are dealt by zone: so it is taken zone
+        by zone, by putting the proxies that are missing where they are missing."""
         own, count, others = [0.0] * len(self.zones), [0] * len(self.zones), [0.0] * len(self.zones)
         for p in self.proxies.values():
             own[p.zone] += p.demand(len(self.terms.kinds))
@@ -614,9 +555,11 @@
         flow = least_cost_flow(demand, steps, [[price(z, g) for g in self.zones] for z in self.zones])
         warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
         for z, table in enumerate(self.tables):
-            near = [(not any(i in warm for i in groups[g]), g != z, self.now < self.cut[z][g], self._latency(z, g) or usual, g)
-                    for g in self.zones if groups[g]]
-            home = min(near)[4] if near else 0  # overflow: own group, else the nearest with servers (design)
+            ranked = [  # overflow: own group, else the nearest with servers (design), warm ones first
+                (not any(i in warm for i in groups[g]), g != z, self.now < self.cut[z][g], self._latency(z, g), g)
+                for g in self.zones if groups[g]
+            ]
+            home = min(ranked)[4] if ranked else 0
             flow[z][home] += max(0.0, demand[z] - sum(flow[z]))
             total = sum(flow[z])
             shares = [f / total if total > 0 else float(g == home) for g, f in enumerate(flow[z])]
@@ -639,7 +582,7 @@
         return [p for p, proxy in self.proxies.items() if proxy.zone == z and proxy.bound]
 
     def _send(self) -> None:
-        """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; then deltas."""
+        """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; deltas last."""
         touched: list[int] = []
         for i, be in self.bes.items():
             if (be.state == GONE) != be.cordoned and be.state in (GONE, *LIVE):
@@ -681,13 +624,11 @@
             if not table.want:
                 continue
             if not self._users(proxy.zone):  # nobody reads the table: laying it costs nothing
-                orders = self._changes(proxy.zone, table, 0.0)
-                self.gate.put(orders, {}, True)
+                self.gate.put(self._changes(proxy.zone, table, 0.0), {}, True)
             cost = 2 + len(table.sent) + len(table.levels)
             if self.gate.put([it.Bind(p, proxy.zone, 0)], {p: cost}, True):
                 proxy.bound = True
-                if proxy.zone not in touched:
-                    touched.append(proxy.zone)
+                touched.append(proxy.zone)
 
     def _send_delta(self, z: int, table: Table, touched: list[int]) -> None:
         users = self._users(z)
@@ -698,13 +639,12 @@
         was, levels = dict(table.sent), dict(table.levels)
         orders = self._changes(z, table, MOVE)
         if orders and self.gate.put(orders, dict.fromkeys(users, len(orders)), shut):
-            if z not in touched:
-                touched.append(z)
+            touched.append(z)
         else:
             table.sent, table.levels = was, levels
 
     def _changes(self, z: int, table: Table, past: float) -> list[it.Order]:
-        """The lines by which a table's wanted state differs from what was sent, which is then what was sent."""
+        """The orders that turn what was sent into what is wanted, which then counts as sent."""
         orders: list[it.Order] = []
         for i, w in table.want.items():
             if abs(w - table.sent.get(i, 0.0)) > past * table.sent.get(i, 0.0):
@@ -716,10 +656,10 @@
         for k, share in self._levels().items():
             if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
                 table.levels[k] = share
-                orders.append(it.Level(z, self._let_in(z, k, share), 1 << k, self._further(k)))
+                orders.append(it.Level(z, self._let_in(z, k, share), 1 << k, it.Further.NEVER_RAN))
         return orders
 
-    # ---- levels and further tries
+    # ---- levels; a further try only on proof that the first never ran, which can never take effect twice
 
     def _levels(self) -> dict[int, float]:
         """What is let in of each kind: the kinds worth least for their response target are denied first."""
@@ -736,8 +676,7 @@
         return shares
 
     def _let_in(self, z: int, k: int, share: float) -> float:
-        """A share as the site's proxies take it; a rate is the same for each proxy of a table, so the
-        busiest are cut down to it until the zone's sum fits."""
+        """A share, or the rate for each proxy of a table by which its zone's sum falls to that share."""
         if self.terms.levels == "ratio":
             return share
         rates = sorted(p.came.get(k, 0.0) for p in self.proxies.values() if p.zone == z)
@@ -748,10 +687,6 @@
             left -= rate
         return 1e6
 
-    def _further(self, k: int) -> it.Further:
-        """A further try only on proof that the first never ran: this can never take effect twice."""
-        return it.Further.NEVER_RAN
-
     # ---- sites with slices
 
     def _given(self, g: it.Given) -> None:
@@ -766,21 +701,17 @@
     def _mend_slices(self) -> None:
         """A slice keeps its servers; with none left it gets the one that holds least for its size."""
         full = self._estimates()
-        held = dict.fromkeys(full, 1.0)
-        for i in [i for lines in self.slices.values() for i in lines if i in held]:
-            held[i] += 1.0
+        held = {i: 1.0 + sum(i in lines for lines in self.slices.values()) for i in full}
         for t, lines in self.slices.items():
             stays = {i: w for i, w in lines.items() if i in full}
             if not full or (stays and len(stays) == len(lines)):
                 continue
-            orders: list[it.Order] = []
-            drops = [it.SetLine(t, i, 0.0) for i in lines if i not in full]
+            orders: list[it.Order] = [it.SetLine(t, i, 0.0) for i in lines if i not in full]
             if not stays:
                 best = min(full, key=lambda i: (held[i] / full[i], i))
                 held[best] += 1.0
                 stays = {best: 1.0}
-                orders.append(it.SetLine(t, best, 1.0))
-            orders += [] if self.terms.single_owner else drops
+                orders = [it.SetLine(t, best, 1.0)] + ([] if self.terms.single_owner else orders)
             if self.gate.put(orders, dict.fromkeys(self.proxies, len(orders)), True):
                 self.slices[t] = stays
 
@@ -801,22 +732,12 @@
     (TRIAL, "fine"): (RAMP, Ladder._resume),
 }
 PACE = {
-    (IDLE, "sent"): WAITING,
-    (WAITING, "sent"): WAITING,
-    (WAITING, "answered"): IDLE,
-    (WAITING, "late"): IDLE,
+    (IDLE, "sent"): WAITING, (WAITING, "sent"): WAITING,
+    (WAITING, "answered"): IDLE, (WAITING, "late"): IDLE,
 }
 TAKE: dict[type, Callable[..., None]] = {
-    it.Listing: Ladder._listing,
-    it.Wake: Ladder._wake,
-    it.Probed: Ladder._probed,
-    it.Joined: Ladder._joined,
-    it.Left: Ladder._left,
-    it.Tally: Ladder._tally,
-    it.Ingress: Ladder._ingress,
-    it.Given: Ladder._given,
-    it.Stored: Ladder._stored,
-    it.Answered: Ladder._answered,
-    it.Hint: Ladder._ignore,
+    it.Listing: Ladder._listing, it.Wake: Ladder._wake, it.Probed: Ladder._probed, it.Joined: Ladder._joined,
+    it.Left: Ladder._left, it.Tally: Ladder._tally, it.Ingress: Ladder._ingress, it.Given: Ladder._given,
+    it.Stored: Ladder._stored, it.Answered: Ladder._answered, it.Hint: Ladder._ignore,
     it.SliceLoad: Ladder._ignore,
 }
