--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -10,8 +10,7 @@
 2. the server lifecycle: failing servers are shut out, come back by a trial, and cold ones are eased in;
 3. slowness: a server's estimate falls with its response time and errors against the fleet's;
 4. even filling: groups are filled to a little over the fleet's mean level, not to their estimates;
-5. unseen proxies and cut links: other managers' proxies count as demand of the zones where they are
-   missing, and a zone whose tries at a whole group fail is kept off that group for a while;
+5. unseen proxies: other managers' proxies count as demand of the zones where they are missing;
 6. levels: while most servers show overload, the reqs worth least for their time are denied first.
 """
 
@@ -42,7 +41,6 @@
 TRIAL_SHARE, TRIAL_TRIES = 0.1, 3.0  # weight of a trial, of average; tries that end it
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what probing may cost; lost ones in a row
 QUEUE_OVER = 2.0  # reqs held over rate, as a multiple of the response time heard, that shows a fresh queue
-CUT_SHARE, CUT_LEAST, CUT_CALM = 0.9, 4e9, 0.3  # errored part and tries that cut a link; the fleet's at most
 COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # part of the multiple; 1/errors for none; over the mean level
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.3, 0.25, 0.1, 0.8  # steps of what is let in; overload to rise at
@@ -54,12 +52,11 @@
 
 
 class Be:
-    """What one manager holds of a server; tries and errored are by zone of the proxies."""
+    """What one manager holds of a server."""
 
-    def __init__(self, zones: int, least: float) -> None:
+    def __init__(self, least: float) -> None:
         self.state, self.zone, self.weight, self.started = ABSENT, 0, 1.0, 0.0
-        self.tries, self.errored = [0.0] * zones, [0.0] * zones
-        self.least, self.bins = least, [0.0] * BINS  # response times in coarse bins
+        self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times in coarse bins
         self.since, self.due, self.wait = 0.0, 0.0, OUT_WAIT  # its ramp's start; its trial's time
         self.rate, self.load = 0.0, -1.0  # own tries a second this interval; load report, smoothed
         self.measured: deque[float] = deque(maxlen=AVERAGED)
@@ -78,7 +75,7 @@
         return float(self.least * BIN_STEP**place) if total >= 2.0 else 0.0
 
     def fade(self, keep: float) -> None:
-        self.tries, self.errored, self.bins = ([n * keep for n in v] for v in (self.tries, self.errored, self.bins))
+        self.tries, self.errored, self.bins = self.tries * keep, self.errored * keep, [n * keep for n in self.bins]
 
 
 class Proxy:
@@ -225,12 +222,9 @@
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
         self.beat, self.follow_wait, self.urgent, self.listed = 0, 0.5, False, False
         self.strain, self.strained, self.let_in = 0.0, 0.0, 1.0  # errored part; overload from 1; what is let in
-        self.cut = [[0.0] * terms.zones for _ in self.zones]  # a link is cut until
         self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, the last's
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
 
-    # ---- the way in
-
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
         self.now = now
         if self.beat == 0:
@@ -259,8 +253,6 @@
             self._probe()
         self._judge()
 
-    # ---- the list
-
     def _listing(self, listing: it.Listing) -> None:
         if listing.news == it.News.FAILED:
             self.follow_at = self.now + self.follow_wait * self.uniform(0.8, 1.2)
@@ -274,7 +266,7 @@
                 if index not in named:
                     self._step(index, "leaving", "not listed")
         for e in listing.entries:
-            be = self.bes.setdefault(e.be, Be(self.terms.zones, self.tightest / 64))
+            be = self.bes.setdefault(e.be, Be(self.tightest / 64))
             age, anew = self.now - e.started, e.started > be.started
             be.zone, be.weight, be.started = e.zone, max(e.weight, 1e-6), e.started
             if e.mode != it.Mode.READY:
@@ -308,14 +300,12 @@
         be.wait = min(be.wait * 2, OUT_WAIT_MOST)
         be.planned = 0.0
 
-    # ---- reports
-
     def _tally(self, t: it.Tally) -> None:
         be = self.bes.get(t.be)
         if be is None or t.tries <= 0:
             return
-        be.tries[t.zone] += t.tries
-        be.errored[t.zone] += t.errored
+        be.tries += t.tries
+        be.errored += t.errored
         be.rate += t.tries / INTERVAL
         if t.tries > t.errored and t.took > 0:
             be.add(t.took, t.tries - t.errored)
@@ -367,16 +357,9 @@
                 if table.answers > len(table.asked):
                     table.pace = PACE.get((table.pace, "answered"), table.pace)
 
-    # ---- health
-
     def _live(self) -> dict[int, Be]:
         return {i: be for i, be in self.bes.items() if be.state in LIVE}
 
-    def _met(self, be: Be) -> tuple[float, float]:
-        """Tries and errored tries at a server, but for those over cut links."""
-        whole = [z for z in self.zones if self.now >= self.cut[z][be.zone]]
-        return sum(be.tries[z] for z in whole), sum(be.errored[z] for z in whole)
-
     def _usual_time(self) -> float:
         means = [m for be in self._live().values() if (m := be.mean()) > 0]
         return median(means) if means else 0.0
@@ -387,17 +370,15 @@
         Shut out are servers that hardly answer at all.  Errors beside answers are overload, a slow machine or
         one that fails a part: there the estimate falls, as shutting out would push the rest over.  Harms where
         unlucky sums make a good server look silent; the cap on what may be out and the trial bound that."""
-        self._judge_links()
         live = self._live()
-        seen = {i: self._met(be) for i, be in live.items()}
-        tries, errored = sum(n for n, _ in seen.values()), sum(e for _, e in seen.values())
+        tries, errored = sum(be.tries for be in live.values()), sum(be.errored for be in live.values())
         self.strain = errored / tries if tries > 0 else 0.0
         was, self.strained = self.strained, self._overload(live)
         self.urgent |= was < 1.0 <= self.strained
         shut = sum(be.weight for be in self.bes.values() if be.state == OUT)
         most = OUT_MOST * (shut + sum(be.weight for be in live.values()))
         for i, be in self.bes.items():
-            n, e = seen.get(i, (0.0, 0.0))
+            n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
             silent = e >= SILENT_SHARE * n and others < SILENT_SHARE / 2
             heard = n >= (BAD_LEAST if be.state != TRIAL else 1.0) and e > 0
@@ -412,25 +393,6 @@
             elif be.state == OUT and self.now >= be.due and not self.terms.probing:
                 self._step(i, "due", "waited")
 
-    def _judge_links(self) -> None:
-        """Guards against a zone cut off: nearly all tries of one zone at another group err while the fleet is
-        calm.  Should also cover a broken path; harms if a whole group errs, whose servers are judged instead."""
-        for g in self.zones:
-            group = [be for be in self.bes.values() if be.zone == g]
-            met = [(sum(be.tries[z] for be in group), sum(be.errored[z] for be in group)) for z in self.zones]
-            if self.strain > CUT_CALM or met[g][1] > CUT_CALM * met[g][0]:
-                continue
-            for z in self.zones:
-                n, e = met[z]
-                if z != g and self.now >= self.cut[z][g] and n >= CUT_LEAST and e >= CUT_SHARE * n:
-                    self.cut[z][g] = self.now + 2 * INTERVAL
-                    self.urgent = True
-                    self._say(f"link {z}-{g} cut: errored {e:.0f} of {n:.0f}")
-                    for be in group:
-                        be.tries[z] = be.errored[z] = 0.0
-
-    # ---- estimates
-
     def _cold(self, be: Be) -> bool:
         return be.started > 0 and self.now - be.started < self.terms.warm_after
 
@@ -450,7 +412,7 @@
         live = self._live()
         usual = self._usual_time()
         over = {i: max(be.mean(), self._queued(be)) / be.base for i, be in live.items() if be.base > 0}
-        bad = {i: e / n for i, be in live.items() for n, e in [self._met(be)] if n >= 1.0}
+        bad = {i: be.errored / be.tries for i, be in live.items() if be.tries >= 1.0}
         usual_over, usual_bad = (median(v.values()) if v else 0.0 for v in (over, bad))
         jam = max(1.0, self.strained)  # in a jam times lie far apart by chance: weights must not chase them
         for i, be in live.items():
@@ -470,7 +432,7 @@
     def _overload(self, live: dict[int, Be]) -> float:
         """How far most servers show overload, 1 and more being overload: in errors, in time, in reqs held over
         their rate (Little's law; the freshest), or in their load reports."""
-        bad = [e / n for n, e in map(self._met, live.values()) if n >= 1.0]
+        bad = [be.errored / be.tries for be in live.values() if be.tries >= 1.0]
         held = [(be.held, be.planned) for be in live.values() if be.held >= 0 and be.planned > 0]
         queue = sum(h for h, _ in held) / sum(p for _, p in held) if held else 0.0
         loads = [be.load for be in live.values() if be.load >= 0]
@@ -508,8 +470,6 @@
                 full[i] *= share * min(1.0, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
-    # ---- the flow
-
     def _demand(self) -> tuple[list[float], list[float]]:
         """Own demand by zone, and a guess at that of other managers' proxies.  One part of the tries for all
         groups (design) would send most tries across zones, since proxies are dealt by zone: so it is taken zone
@@ -545,7 +505,7 @@
 
         def price(z: int, g: int) -> float | None:
             slow = usual > 0 and (self._latency(z, g) or usual) >= LINK_OVER * usual
-            if slow or not groups[g] or self.now < self.cut[z][g]:
+            if slow or not groups[g]:
                 return None
             return 0.0 if z == g else CROSS_COST
 
@@ -556,10 +516,10 @@
         warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
         for z, table in enumerate(self.tables):
             ranked = [  # overflow: own group, else the nearest with servers (design), warm ones first
-                (not any(i in warm for i in groups[g]), g != z, self.now < self.cut[z][g], self._latency(z, g), g)
+                (not any(i in warm for i in groups[g]), g != z, self._latency(z, g), g)
                 for g in self.zones if groups[g]
             ]
-            home = min(ranked)[4] if ranked else 0
+            home = min(ranked)[3] if ranked else 0
             flow[z][home] += max(0.0, demand[z] - sum(flow[z]))
             total = sum(flow[z])
             shares = [f / total if total > 0 else float(g == home) for g, f in enumerate(flow[z])]
@@ -576,8 +536,6 @@
             mine = sum(flow[z][g] * own[z] / demand[z] for z in self.zones if demand[z] > 0)
             self.part[g] = mine / total if total > 0 else 1.0
 
-    # ---- the way out
-
     def _users(self, z: int) -> list[int]:
         return [p for p, proxy in self.proxies.items() if proxy.zone == z and proxy.bound]
 
@@ -659,8 +617,6 @@
                 orders.append(it.Level(z, self._let_in(z, k, share), 1 << k, it.Further.NEVER_RAN))
         return orders
 
-    # ---- levels; a further try only on proof that the first never ran, which can never take effect twice
-
     def _levels(self) -> dict[int, float]:
         """What is let in of each kind: the kinds worth least for their response target are denied first."""
         kinds = self.terms.kinds
@@ -687,8 +643,6 @@
             left -= rate
         return 1e6
 
-    # ---- sites with slices
-
     def _given(self, g: it.Given) -> None:
         self.slices.pop(g.table, None)
         if g.on:
