--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -36,9 +36,9 @@
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
 BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # part of the way a base time goes; how far speeds may differ
 KEEP, BIN_STEP, BINS = 0.35, 1.5, 16  # of what was counted, each interval; ratio of time bins; how many
-SILENT_SHARE, FINE_SHARE, BAD_LEAST = 0.85, 0.25, 4.0  # errored part if silent, at most if fine; least tries
+SILENT_SHARE, BAD_LEAST = 0.85, 4.0  # errored part and least tries of a silent server
 OUT_MOST, OUT_WAIT, OUT_WAIT_MOST = 0.34, 4.0, 16.0  # of capacity shut out; s until a trial, doubled if it fails
-TRIAL_SHARE, TRIAL_TRIES = 0.1, 3.0  # weight of a trial, of average; tries that end it
+TRIAL_SHARE = 0.1  # of average, where a server that was shut out starts again
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what probing may cost; lost ones in a row
 QUEUE_OVER = 2.0  # reqs held over rate, as a multiple of the response time heard, that shows a fresh queue
 COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # part of the multiple; 1/errors for none; over the mean level
@@ -47,8 +47,8 @@
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
 SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
-ABSENT, WELL, RAMP, OUT, TRIAL, GONE = "absent", "well", "ramp", "out", "trial", "gone"
-LIVE, IDLE, WAITING = (WELL, RAMP, TRIAL), "idle", "waiting"
+ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
+LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
 
 
 class Be:
@@ -57,7 +57,7 @@
     def __init__(self, least: float) -> None:
         self.state, self.zone, self.weight, self.started = ABSENT, 0, 1.0, 0.0
         self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times in coarse bins
-        self.since, self.due, self.wait = 0.0, 0.0, OUT_WAIT  # its ramp's start; its trial's time
+        self.since, self.first, self.due, self.wait = 0.0, NEW_SHARE, 0.0, OUT_WAIT  # its ramp; its trial's time
         self.rate, self.load = 0.0, -1.0  # own tries a second this interval; load report, smoothed
         self.measured: deque[float] = deque(maxlen=AVERAGED)
         self.base, self.slowness = 0.0, 1.0  # its time when little queues; the factor for trouble
@@ -289,12 +289,10 @@
             effect(self, be)
 
     def _begin(self, be: Be) -> None:
-        be.since, be.wait, be.slowness, be.held, be.lost = self.now, OUT_WAIT, 1.0, -1.0, 0
+        be.first = TRIAL_SHARE if be.due > 0.0 else NEW_SHARE
+        be.since, be.due, be.slowness, be.held, be.lost = self.now, 0.0, 1.0, -1.0, 0
         be.fade(0.0)
 
-    def _resume(self, be: Be) -> None:
-        be.since, be.wait = self.now - INTERVAL, OUT_WAIT  # tried already: from half of average
-
     def _shut(self, be: Be) -> None:
         be.due = self.now + be.wait * self.uniform(0.9, 1.1)
         be.wait = min(be.wait * 2, OUT_WAIT_MOST)
@@ -381,14 +379,13 @@
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
             silent = e >= SILENT_SHARE * n and others < SILENT_SHARE / 2
-            heard = n >= (BAD_LEAST if be.state != TRIAL else 1.0) and e > 0
+            heard = n >= BAD_LEAST * (be.first / NEW_SHARE if be.state == RAMP else 1.0)
             if be.state in LIVE and ((heard and silent) or be.lost >= PROBES_LOST):
                 if shut + be.weight <= most:
                     shut += be.weight
                     self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
-            elif be.state == TRIAL and n >= TRIAL_TRIES and e < FINE_SHARE * n:
-                self._step(i, "fine", f"errored {e:.0f} of {n:.0f}")
             elif be.state == RAMP and self._ease(be) >= 4.0:
+                be.wait = OUT_WAIT
                 self._step(i, "grown", "ramp over")
             elif be.state == OUT and self.now >= be.due and not self.terms.probing:
                 self._step(i, "due", "waited")
@@ -398,7 +395,7 @@
 
     def _ease(self, be: Be) -> float:
         """A new server's share of average: a quarter, doubled each interval (design)."""
-        return float(NEW_SHARE * 2.0 ** min(10.0, max(0.0, self.now - be.since) // INTERVAL))
+        return float(be.first * 2.0 ** min(10.0, max(0.0, self.now - be.since) // INTERVAL))
 
     def _measure(self) -> None:
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
@@ -459,8 +456,8 @@
         average = sum(full.values()) / len(full) if full else 1.0
         for i, be in live.items():
             full[i] *= be.slowness
-            if be.state in (RAMP, TRIAL):
-                full[i] = min(full[i], average * (TRIAL_SHARE if be.state == TRIAL else self._ease(be)))
+            if be.state == RAMP:
+                full[i] = min(full[i], average * self._ease(be))
             if self._cold(be):
                 # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to the cold ones whatever
                 # their weight: there they get no line under strain.  Harms while a deploy meets an overload.
@@ -614,7 +611,7 @@
         for k, share in self._levels().items():
             if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
                 table.levels[k] = share
-                orders.append(it.Level(z, self._let_in(z, k, share), 1 << k, it.Further.NEVER_RAN))
+                orders.append(it.Level(z, self._let_in(k, share), 1 << k, it.Further.NEVER_RAN))
         return orders
 
     def _levels(self) -> dict[int, float]:
@@ -631,17 +628,11 @@
             deny -= denied
         return shares
 
-    def _let_in(self, z: int, k: int, share: float) -> float:
-        """A share, or the rate for each proxy of a table by which its zone's sum falls to that share."""
+    def _let_in(self, k: int, share: float) -> float:
+        """A share as the proxies take it; as a rate it is that of the busiest: small ones are left alone."""
         if self.terms.levels == "ratio":
             return share
-        rates = sorted(p.came.get(k, 0.0) for p in self.proxies.values() if p.zone == z)
-        left = share * sum(rates)
-        for i, rate in enumerate(rates):
-            if rate * (len(rates) - i) > left and share < 1.0:
-                return max(left / (len(rates) - i), 0.1)
-            left -= rate
-        return 1e6
+        return max(0.1, share * max(p.came.get(k, 0.0) for p in self.proxies.values())) if share < 1.0 else 1e6
 
     def _given(self, g: it.Given) -> None:
         self.slices.pop(g.table, None)
@@ -682,8 +673,7 @@
     (ABSENT, "seen"): (RAMP, Ladder._begin),
     (GONE, "seen"): (RAMP, Ladder._begin),
     (RAMP, "grown"): (WELL, None),
-    (OUT, "due"): (TRIAL, Ladder._begin),
-    (TRIAL, "fine"): (RAMP, Ladder._resume),
+    (OUT, "due"): (RAMP, Ladder._begin),
 }
 PACE = {
     (IDLE, "sent"): WAITING, (WAITING, "sent"): WAITING,
