--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -1,13 +1,12 @@
 """The decisions of one manager: the module that is ported by hand.
 
-A front makes one `Ladder` from the `Terms` of a start and calls `decide(now, inputs)` for each batch; the
-orders that come back are carried out at once and in their order.  All types stand in `interface.py` beside
-this file.  Each interval a min-cost flow from proxy zones to server groups (the servers of one zone) is
-solved, and its shares become the weights of one table a zone.  docs/design.md has what is kept and changed.
+A front makes a `Ladder` from the `Terms` of a start, calls `decide(now, inputs)` for each batch and carries
+out the orders in their order; the types stand in `interface.py` beside this file.  Each interval a min-cost
+flow from proxy zones to server groups (a zone's servers) is solved; its shares become one table a zone.
 
-Beside the design stand:
+Beside the design (docs/design.md says what is kept and changed) stand:
 1. the order gate: one ledger of lines and messages; rule-bearing orders first, with room held back;
-2. the server lifecycle: failing servers are shut out, come back by a trial, and cold ones are eased in;
+2. the server lifecycle: silent servers are shut out and come back by a small share, cold ones are eased in;
 3. slowness: a server's estimate falls with its response time and errors against the fleet's;
 4. even filling: groups are filled to a little over the fleet's mean level, not to their estimates;
 5. unseen proxies: other managers' proxies count as demand of the zones where they are missing;
@@ -24,26 +23,23 @@
 
 from . import interface as it
 
-INTERVAL, BEAT, ANSWER_WAIT = 2.0, 0.25, 3.0  # s: between solutions (design), looks; for a mark's answers (design)
-MOVE = 0.1  # part of a weight below which it stays (design)
+INTERVAL, BEAT, ANSWER_WAIT = 2.0, 0.25, 3.0  # s: between solutions, looks; for answers (design)
+MOVE, NEW_SHARE = 0.1, 0.25  # part of a weight that moves; of average, a new server's start (design)
 LOAD_FLOOR, AVERAGED = 0.1, 10  # least load report that counts; intervals in an estimate (design)
-NEW_SHARE = 0.25  # of average, where a new server starts, doubled each interval (design)
-LINK_OVER, LINK_SPAN = 2.0, 5.0  # over the fleet's median a link goes; s its least time is taken over (design)
+LINK_OVER, LINK_SPAN = 2.0, 5.0  # over the median a link goes; s its least time is taken over (design)
 CROSS_COST, ABOVE_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
 SLACK, SLACK_FOR_PRICE = 0.05, 0.5  # how far above the mean level; more where crossing zones is priced higher
 LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
-SLOW_OVER, ERRED_POWER = 1.5, 3.0  # time over base, against the fleet's, that is left alone; of the answered part
+SLOW_OVER, ERRED_POWER = 1.5, 3.0  # time over base, against the fleet's, left alone; of the answered part
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
-BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # part of the way a base time goes; how far speeds may differ
+BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # steps of a base time; how far speeds may differ
 KEEP, BIN_STEP, BINS = 0.35, 1.5, 16  # of what was counted, each interval; ratio of time bins; how many
-SILENT_SHARE, BAD_LEAST = 0.85, 4.0  # errored part and least tries of a silent server
-OUT_MOST, OUT_WAIT, OUT_WAIT_MOST = 0.34, 4.0, 16.0  # of capacity shut out; s until a trial, doubled if it fails
-TRIAL_SHARE = 0.1  # of average, where a server that was shut out starts again
-PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what probing may cost; lost ones in a row
-QUEUE_OVER = 2.0  # reqs held over rate, as a multiple of the response time heard, that shows a fresh queue
-COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # part of the multiple; 1/errors for none; over the mean level
+SILENT_SHARE, BAD_LEAST, TRIAL_SHARE = 0.85, 4.0, 0.1  # errored part, least tries; of average, to start again
+OUT_MOST, OUT_WAIT, OUT_WAIT_MOST = 0.34, 4.0, 16.0  # of capacity shut out; s to a trial, doubled each time
+PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
+COLD_PART, COLD_CALM, COLD_OVER = 0.2, 12.0, 1.5  # of the multiple; 1/errors for none; over the mean level
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
-LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.3, 0.25, 0.1, 0.8  # steps of what is let in; overload to rise at
+LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.3, 0.25, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
 ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
 SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
@@ -56,13 +52,12 @@
 
     def __init__(self, least: float) -> None:
         self.state, self.zone, self.weight, self.started = ABSENT, 0, 1.0, 0.0
-        self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times in coarse bins
-        self.since, self.first, self.due, self.wait = 0.0, NEW_SHARE, 0.0, OUT_WAIT  # its ramp; its trial's time
+        self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times, coarse
+        self.since, self.first, self.due, self.wait = 0.0, NEW_SHARE, 0.0, OUT_WAIT  # its ramp, its trial
         self.rate, self.load = 0.0, -1.0  # own tries a second this interval; load report, smoothed
         self.measured: deque[float] = deque(maxlen=AVERAGED)
         self.base, self.slowness = 0.0, 1.0  # its time when little queues; the factor for trouble
-        self.lost, self.held, self.planned = 0, -1.0, 0.0  # probes in a row; reqs by probes; reqs a second sent
-        self.cordoned = False
+        self.lost, self.held, self.planned, self.cordoned = 0, -1.0, 0.0, False  # probes, reqs, reqs/s
 
     def add(self, took: float, tries: float) -> None:
         place = int(math.log(max(took, self.least) / self.least) / math.log(BIN_STEP))
@@ -75,7 +70,8 @@
         return float(self.least * BIN_STEP**place) if total >= 2.0 else 0.0
 
     def fade(self, keep: float) -> None:
-        self.tries, self.errored, self.bins = self.tries * keep, self.errored * keep, [n * keep for n in self.bins]
+        self.tries, self.errored = self.tries * keep, self.errored * keep
+        self.bins = [n * keep for n in self.bins]
 
 
 class Proxy:
@@ -83,9 +79,6 @@
         self.zone, self.rate, self.bound = zone, rate, False
         self.came: dict[int, float] = {}  # reqs a second by kind, as last heard
 
-    def demand(self, kinds: int) -> float:
-        return sum(self.came.values()) if len(self.came) == kinds else self.rate
-
 
 class Table:
     """What a zone's proxies were sent, what they should hold, and who has yet to answer its mark."""
@@ -98,6 +91,11 @@
         self.asked: list[int] = []
 
 
+def middle(values: Iterable[float]) -> float:
+    seen = list(values)
+    return median(seen) if seen else 0.0
+
+
 def least_cost_flow(
     demand: list[float], steps: list[list[tuple[float, float]]], cost: list[list[float | None]]
 ) -> list[list[float]]:
@@ -142,39 +140,34 @@
 
 
 class Gate:
-    """The one way out for orders to proxies; it keeps the ledger of waiting lines and of messages.
-
-    What went before an answered mark has left; without answers the channel is taken for SLOWEST_CHANNEL times
-    slower than stated.  So no path can break the queue rule; harms only by holding deltas back."""
+    """The one way out for orders to proxies: keeps the queue rule for every path by a ledger of lines.
+    What went before an answered mark has left; till then the channel is taken for SLOWEST_CHANNEL slower."""
 
     def __init__(self, terms: it.Terms) -> None:
         self.terms, self.number = terms, 0
         self.at = self.waiting = self.total = 0.0
         self.before: dict[int, float] = {}  # mark -> lines ordered before it
-        self.written: dict[int, deque[float]] = {}
+        self.written: dict[int, list[float]] = {}
         self.orders: list[it.Order] = []
         self.lines: dict[int, int] = {}
 
     def open(self, now: float) -> None:
         drained = (now - self.at) * self.terms.lines_per_s / SLOWEST_CHANNEL
         self.waiting, self.at = max(0.0, self.waiting - drained), now
-        for times in self.written.values():
-            while times and now - times[0] > self.terms.messages_span:
-                times.popleft()
 
     def answered(self, mark: int) -> None:
-        if mark in self.before:
-            self.waiting = min(self.waiting, self.total - self.before[mark])
+        self.waiting = min(self.waiting, self.total - self.before.get(mark, 0.0))
+
+    def _recent(self, proxy: int) -> list[float]:
+        return [t for t in self.written.get(proxy, []) if self.at - t <= self.terms.messages_span]
 
     def _may_write(self, proxy: int, rules: bool) -> bool:
         """Deltas leave a third of the messages; past half, rule-bearing ones are spread over the span."""
-        most, times = self.terms.messages_most, self.written.get(proxy)
-        if most <= 0 or not times:
-            return True
-        if not rules:
-            return len(times) < most - math.ceil(most / 3)
+        most, times = self.terms.messages_most, self._recent(proxy)
+        if most <= 0 or not times or not rules:
+            return most <= 0 or len(times) < most - math.ceil(most / 3)
         spread = self.at - times[-1] >= self.terms.messages_span / most
-        return len(times) < most / 2 or (spread and len(times) < most)
+        return len(times) < (most if spread else most / 2)
 
     def _count(self, lines: Iterable[int], messages: int) -> int:
         return sum(lines) + messages * (self.terms.head_lines + 1)
@@ -202,7 +195,7 @@
             lines = self._count(self.lines.values(), len(self.lines))
             self.waiting, self.total = self.waiting + lines, self.total + lines
             for proxy in self.lines:
-                self.written.setdefault(proxy, deque()).append(self.at)
+                self.written[proxy] = [*self._recent(proxy), self.at]
         self.orders, self.lines = [], {}
         return orders, mark
 
@@ -221,8 +214,8 @@
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
         self.beat, self.follow_wait, self.urgent, self.listed = 0, 0.5, False, False
-        self.strain, self.strained, self.let_in = 0.0, 0.0, 1.0  # errored part; overload from 1; what is let in
-        self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, the last's
+        self.strain, self.strained, self.let_in = 0.0, 0.0, 1.0  # errored part; overload; let in
+        self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, last's
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
 
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
@@ -230,7 +223,7 @@
         if self.beat == 0:
             self._wake(it.Wake(0))
         for item in inputs:
-            TAKE[type(item)](self, item)
+            TAKE.get(type(item), Ladder._left_aside)(self, item)
         if self.listed and (self.urgent or now >= self.solve_at):
             self._solve()
         self.gate.open(now)
@@ -238,9 +231,6 @@
         out, self.out = self.out, []
         return out
 
-    def _say(self, text: str) -> None:
-        self.out.append(it.Remark(text))
-
     def _wake(self, wake: it.Wake) -> None:
         if wake.token != self.beat:
             return
@@ -262,9 +252,8 @@
             self.follow_at, self.follow_wait = math.inf, 0.5
         if listing.news != it.News.DELTA:
             named = {e.be for e in listing.entries}
-            for index, be in self.bes.items():
-                if index not in named:
-                    self._step(index, "leaving", "not listed")
+            for index in [i for i in self.bes if i not in named]:
+                self._step(index, "leaving", "not listed")
         for e in listing.entries:
             be = self.bes.setdefault(e.be, Be(self.tightest / 64))
             age, anew = self.now - e.started, e.started > be.started
@@ -282,8 +271,8 @@
         if (be.state, event) not in LIFE:
             return
         state, effect = LIFE[be.state, event]
-        if state != be.state and be.state != ABSENT:
-            self._say(f"be {index} {be.state}>{state} {event}: {why}")
+        if be.state not in (state, ABSENT):
+            self.out.append(it.Remark(f"be {index} {be.state}>{state} {event}: {why}"))
         be.state, self.urgent = state, True
         if effect is not None:
             effect(self, be)
@@ -309,7 +298,7 @@
             be.add(t.took, t.tries - t.errored)
             start, least, last = self.least[t.zone][be.zone]
             if self.now - start >= LINK_SPAN / 2:
-                start, least, last = self.now, math.inf, least
+                start, least, last = self.now, t.took, least
             self.least[t.zone][be.zone] = (start, min(least, t.took), last)
         if "util" in t.report:
             be.load = t.report["util"] if be.load < 0 else (be.load + t.report["util"]) / 2
@@ -319,11 +308,10 @@
             self.proxies[u.proxy].came[u.kind] = u.reqs / u.span
 
     def _probe(self) -> None:
-        """All listed servers: silence and queues show there seconds before the sums.  Harms where probes wait in
-        the queue, since overload then looks silent; the cap on what may be out bounds it."""
-        listed = [i for i, be in self.bes.items() if be.state in (OUT, *LIVE)]
-        reqs = max(1.0, sum(p.demand(len(self.terms.kinds)) for p in self.proxies.values()))
-        price = len(listed) * self.terms.probe_price / reqs  # the part of all traffic cancels the managers out
+        """All listed servers: silence and queues show there seconds before the sums.  Harms where probes wait
+        in the queue, as overload then looks silent; the cap on what may be out bounds it."""
+        listed = self._in(OUT, *LIVE)
+        price = len(listed) * self.terms.probe_price / max(1.0, sum(self._demand()[0]))
         self.probe_at = self.now + max(PROBE_EVERY, price / PROBE_POINTS) * self.uniform(0.9, 1.1)
         self.out += [it.Probe(i) for i in listed]
 
@@ -332,9 +320,8 @@
         if be is None:
             return
         be.lost = 0 if p.done else be.lost + 1
-        if "inflight" in p.report:
-            held = p.report["inflight"]
-            be.held = held if be.held < 0 else (be.held + held) / 2
+        held = p.report.get("inflight", be.held)
+        be.held = held if be.held < 0 else (be.held + held) / 2
         if p.done and be.state == OUT and self.now >= be.due:
             self._step(p.be, "due", f"probe answered in {p.took * 1000:.0f} ms")
 
@@ -355,35 +342,28 @@
                 if table.answers > len(table.asked):
                     table.pace = PACE.get((table.pace, "answered"), table.pace)
 
-    def _live(self) -> dict[int, Be]:
-        return {i: be for i, be in self.bes.items() if be.state in LIVE}
-
-    def _usual_time(self) -> float:
-        means = [m for be in self._live().values() if (m := be.mean()) > 0]
-        return median(means) if means else 0.0
+    def _in(self, *states: str) -> dict[int, Be]:
+        return {i: be for i, be in self.bes.items() if be.state in states}
 
     def _judge(self) -> None:
-        """Symptoms to lifecycle steps, each beat.
-
-        Shut out are servers that hardly answer at all.  Errors beside answers are overload, a slow machine or
-        one that fails a part: there the estimate falls, as shutting out would push the rest over.  Harms where
-        unlucky sums make a good server look silent; the cap on what may be out and the trial bound that."""
-        live = self._live()
+        """Symptoms to lifecycle steps, each beat.  Shut out are servers that hardly answer at all.  Errors
+        beside answers are overload, a slow machine or one that fails a part: there the estimate falls, as
+        shutting out would push the rest over.  Harms where unlucky sums look silent; the cap bounds that."""
+        live = self._in(*LIVE)
         tries, errored = sum(be.tries for be in live.values()), sum(be.errored for be in live.values())
         self.strain = errored / tries if tries > 0 else 0.0
-        was, self.strained = self.strained, self._overload(live)
+        was, self.strained = self.strained, self._overload(list(live.values()))
         self.urgent |= was < 1.0 <= self.strained
-        shut = sum(be.weight for be in self.bes.values() if be.state == OUT)
+        shut = sum(be.weight for be in self._in(OUT).values())
         most = OUT_MOST * (shut + sum(be.weight for be in live.values()))
         for i, be in self.bes.items():
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
-            silent = e >= SILENT_SHARE * n and others < SILENT_SHARE / 2
-            heard = n >= BAD_LEAST * (be.first / NEW_SHARE if be.state == RAMP else 1.0)
-            if be.state in LIVE and ((heard and silent) or be.lost >= PROBES_LOST):
-                if shut + be.weight <= most:
-                    shut += be.weight
-                    self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
+            heard = e > 0 and n >= BAD_LEAST * (be.first / NEW_SHARE if be.state == RAMP else 1.0)
+            silent = (heard and e >= SILENT_SHARE * n and others < SILENT_SHARE / 2) or be.lost >= PROBES_LOST
+            if be.state in LIVE and silent and shut + be.weight <= most:
+                shut += be.weight
+                self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
             elif be.state == RAMP and self._ease(be) >= 4.0:
                 be.wait = OUT_WAIT
                 self._step(i, "grown", "ramp over")
@@ -406,11 +386,10 @@
             if (mean := be.mean()) > 0:
                 step = 1.0 if be.base == 0 else BASE_FALL if mean < be.base else BASE_RISE
                 be.base += (mean - be.base) * step
-        live = self._live()
-        usual = self._usual_time()
-        over = {i: max(be.mean(), self._queued(be)) / be.base for i, be in live.items() if be.base > 0}
+        live = self._in(*LIVE)
+        over = {i: be.mean() / be.base for i, be in live.items() if be.base > 0}
         bad = {i: be.errored / be.tries for i, be in live.items() if be.tries >= 1.0}
-        usual_over, usual_bad = (median(v.values()) if v else 0.0 for v in (over, bad))
+        usual_over, usual_bad = middle(over.values()), middle(bad.values())
         jam = max(1.0, self.strained)  # in a jam times lie far apart by chance: weights must not chase them
         for i, be in live.items():
             aim = min(1.0, jam * SLOW_OVER * usual_over / over[i]) if over.get(i, 0.0) > 0 else 1.0
@@ -422,45 +401,38 @@
         self.let_in += LEVEL_UP if strained < LEVEL_CALM else -down
         self.let_in = min(1.0, max(LEVEL_FLOOR, self.let_in))
         if (before < 1.0) != (self.let_in < 1.0):
-            self._say(f"levels {'on' if self.let_in < 1 else 'off'}: strain {strained:.2f}, time {usual:.2f}")
+            self.out.append(it.Remark(f"levels {before:.2f}>{self.let_in:.2f}: overload {strained:.2f}"))
         for be in self.bes.values():
             be.fade(KEEP)
 
-    def _overload(self, live: dict[int, Be]) -> float:
-        """How far most servers show overload, 1 and more being overload: in errors, in time, in reqs held over
-        their rate (Little's law; the freshest), or in their load reports."""
-        bad = [be.errored / be.tries for be in live.values() if be.tries >= 1.0]
-        held = [(be.held, be.planned) for be in live.values() if be.held >= 0 and be.planned > 0]
-        queue = sum(h for h, _ in held) / sum(p for _, p in held) if held else 0.0
-        loads = [be.load for be in live.values() if be.load >= 0]
-        erred, load = median(bad) if bad else 0.0, median(loads) if loads else 0.0
-        time = max(self._usual_time(), queue) / self.tightest
+    def _overload(self, live: list[Be]) -> float:
+        """How far most servers show overload, from 1: in errors, in time, in reqs held over their rate
+        (Little's law; the freshest sign), or in their load reports.  What few servers show is trouble, not overload."""
+        held = sum(be.held for be in live if be.held >= 0 and be.planned > 0)
+        queue = held / max(1e-9, sum(be.planned for be in live if be.held >= 0))
+        erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
+        time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
+        load = middle(be.load for be in live if be.load >= 0)
         return max(erred / STRAIN_ERRED, time / STRAIN_TIME, load / STRAIN_LOAD)
 
-    def _queued(self, be: Be) -> float:
-        """The time its queue stands for, where probes show many more reqs held than the sums explain."""
-        shown = be.held > QUEUE_OVER * be.mean() * be.planned and be.planned > 0
-        return be.held / be.planned if shown else 0.0
-
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate now."""
-        live = self._live() or {i: be for i, be in self.bes.items() if be.state == OUT}
+        live = self._in(*LIVE) or self._in(OUT)
         heard = {i: sum(be.measured) / len(be.measured) for i, be in live.items() if be.measured}
         unit = sum(heard.values()) / sum(live[i].weight for i in heard) if heard else 1.0
-        bases = [be.base for be in live.values() if be.base > 0]
-        base = median(bases) if bases else 0.0  # a listed size knows no speed: response times stand for it
-        full = {}
+        base = middle(be.base for be in live.values() if be.base > 0)  # listed sizes know no speed: times do
         for i, be in live.items():
             speed = base / be.base if be.base > 0 else 1.0
-            full[i] = heard.get(i, be.weight * unit * min(SPEED_SPAN, max(1 / SPEED_SPAN, speed)))
+            heard.setdefault(i, be.weight * unit * min(SPEED_SPAN, max(1 / SPEED_SPAN, speed)))
+        full = {i: heard[i] for i in live}
         average = sum(full.values()) / len(full) if full else 1.0
         for i, be in live.items():
             full[i] *= be.slowness
             if be.state == RAMP:
                 full[i] = min(full[i], average * self._ease(be))
             if self._cold(be):
-                # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to the cold ones whatever
-                # their weight: there they get no line under strain.  Harms while a deploy meets an overload.
+                # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to cold ones at any
+                # weight: there those get no line under strain.  Harms when a deploy meets an overload.
                 age = (self.now - be.started) / self.terms.warm_after
                 share = self.terms.cold_share + (1.0 - self.terms.cold_share) * age
                 strain = max(COLD_CALM * self.strain, self.strained) if self.terms.avoids else self.strain
@@ -469,11 +441,10 @@
 
     def _demand(self) -> tuple[list[float], list[float]]:
         """Own demand by zone, and a guess at that of other managers' proxies.  One part of the tries for all
-        groups (design) would send most tries across zones, since proxies are dealt by zone: so it is taken zone
-        by zone, by putting the proxies that are missing where they are missing."""
+        groups (design) would send most tries across zones, as zones deal the proxies: it goes by zone."""
         own, count, others = [0.0] * len(self.zones), [0] * len(self.zones), [0.0] * len(self.zones)
         for p in self.proxies.values():
-            own[p.zone] += p.demand(len(self.terms.kinds))
+            own[p.zone] += sum(p.came.values()) if len(p.came) == len(self.terms.kinds) else p.rate
             count[p.zone] += 1
         missing = self.terms.proxies - len(self.proxies)
         gaps = [max(0.0, self.terms.proxies / len(self.zones) - c) for c in count]
@@ -484,8 +455,7 @@
 
     def _latency(self, z: int, g: int) -> float:
         start, least, last = self.least[z][g]
-        seen = [v for v in (least, last) if 0 < v < math.inf]
-        return min(seen) if seen and self.now - start < LINK_SPAN else 0.0
+        return min((v for v in (least, last) if v > 0), default=0.0) if self.now - start < LINK_SPAN else 0.0
 
     def _solve(self) -> None:
         if self.now >= self.measure_at:
@@ -497,8 +467,7 @@
         room = [sum(full[i] for i in group) for group in groups]
         own, others = self._demand()
         demand = [a + b for a, b in zip(own, others, strict=True)]
-        seen = [v for z in self.zones for g in self.zones if (v := self._latency(z, g)) > 0]
-        usual = median(seen) if seen else 0.0
+        usual = middle(v for z in self.zones for g in self.zones if (v := self._latency(z, g)) > 0)
 
         def price(z: int, g: int) -> float | None:
             slow = usual > 0 and (self._latency(z, g) or usual) >= LINK_OVER * usual
@@ -542,13 +511,10 @@
         for i, be in self.bes.items():
             if (be.state == GONE) != be.cordoned and be.state in (GONE, *LIVE):
                 self._send_cordon(i, be)
-        if self.terms.slices:
-            self._mend_slices()
-        else:
-            self._send_binds(touched)
+        self._mend_slices() if self.terms.slices else self._send_binds(touched)
         for z, table in enumerate(self.tables):
-            if table.pace == WAITING and self.now - table.at > ANSWER_WAIT:
-                table.pace = PACE[table.pace, "late"]
+            if self.now - table.at > ANSWER_WAIT:
+                table.pace = PACE.get((table.pace, "late"), table.pace)
             if table.want:
                 self._send_delta(z, table, touched)
         orders, mark = self.gate.close()
@@ -559,15 +525,15 @@
             table.pace = PACE[table.pace, "sent"]
 
     def _send_cordon(self, i: int, be: Be) -> None:
-        orders: list[it.Order] = [it.Cordon(i, be.state == GONE)]
-        cost = dict.fromkeys(self.proxies, 1)
-        holders = [z for z, t in enumerate(self.tables) if be.state == GONE and i in t.sent and len(t.sent) > 1]
+        gone, cost = be.state == GONE, dict.fromkeys(self.proxies, 1)
+        orders: list[it.Order] = [it.Cordon(i, gone)]
+        holders = [z for z, t in enumerate(self.tables) if gone and i in t.sent and len(t.sent) > 1]
         for z in holders:
             orders.append(it.SetLine(z, i, 0.0))
             for p in self._users(z):
                 cost[p] += 1
         if self.gate.put(orders, cost, True):
-            be.cordoned = be.state == GONE
+            be.cordoned = gone
             for z in holders:
                 del self.tables[z].sent[i]
 
@@ -588,10 +554,10 @@
     def _send_delta(self, z: int, table: Table, touched: list[int]) -> None:
         users = self._users(z)
         drops = [self.bes[i] for i in table.sent if i not in table.want]
-        shut = any(be.state in (OUT, GONE) or self._cold(be) for be in drops)
+        shut = any(be.state in (OUT, GONE) or self._cold(be) for be in drops)  # bears on a rule or on silence
         if not users or (table.pace == WAITING and not shut):
             return
-        was, levels = dict(table.sent), dict(table.levels)
+        was, levels = table.sent, dict(table.levels)
         orders = self._changes(z, table, MOVE)
         if orders and self.gate.put(orders, dict.fromkeys(users, len(orders)), shut):
             touched.append(z)
@@ -600,14 +566,11 @@
 
     def _changes(self, z: int, table: Table, past: float) -> list[it.Order]:
         """The orders that turn what was sent into what is wanted, which then counts as sent."""
-        orders: list[it.Order] = []
-        for i, w in table.want.items():
-            if abs(w - table.sent.get(i, 0.0)) > past * table.sent.get(i, 0.0):
-                orders.append(it.SetLine(z, i, w))
-                table.sent[i] = w
-        for i in [i for i in table.sent if i not in table.want]:
-            orders.append(it.SetLine(z, i, 0.0))
-            del table.sent[i]
+        was = table.sent
+        moved = {i: w for i, w in table.want.items() if abs(w - was.get(i, 0.0)) > past * was.get(i, 0.0)}
+        orders: list[it.Order] = [it.SetLine(z, i, w) for i, w in moved.items()]
+        orders += [it.SetLine(z, i, 0.0) for i in table.sent if i not in table.want]
+        table.sent = {i: w for i, w in (table.sent | moved).items() if i in table.want}
         for k, share in self._levels().items():
             if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
                 table.levels[k] = share
@@ -632,16 +595,15 @@
         """A share as the proxies take it; as a rate it is that of the busiest: small ones are left alone."""
         if self.terms.levels == "ratio":
             return share
-        return max(0.1, share * max(p.came.get(k, 0.0) for p in self.proxies.values())) if share < 1.0 else 1e6
+        busiest = max((p.came.get(k, 0.0) for p in self.proxies.values()), default=0.0)
+        return max(0.1, share * busiest) if share < 1.0 else 1e6
 
     def _given(self, g: it.Given) -> None:
         self.slices.pop(g.table, None)
-        if g.on:
-            self.slices[g.table] = {}
+        self.slices.update({g.table: {}} if g.on else {})
 
     def _stored(self, s: it.Stored) -> None:
-        if s.table in self.slices:
-            self.slices[s.table][s.be] = s.weight
+        self.slices.get(s.table, {})[s.be] = s.weight
 
     def _mend_slices(self) -> None:
         """A slice keeps its servers; with none left it gets the one that holds least for its size."""
@@ -660,8 +622,8 @@
             if self.gate.put(orders, dict.fromkeys(self.proxies, len(orders)), True):
                 self.slices[t] = stays
 
-    def _ignore(self, item: it.Input) -> None:
-        """Read, and of no use here."""
+    def _left_aside(self, item: it.Input) -> None:
+        """Hints and slices' loads: no rule and no weight rests on them."""
 
 
 Effect = Callable[[Ladder, Be], None]
@@ -682,6 +644,5 @@
 TAKE: dict[type, Callable[..., None]] = {
     it.Listing: Ladder._listing, it.Wake: Ladder._wake, it.Probed: Ladder._probed, it.Joined: Ladder._joined,
     it.Left: Ladder._left, it.Tally: Ladder._tally, it.Ingress: Ladder._ingress, it.Given: Ladder._given,
-    it.Stored: Ladder._stored, it.Answered: Ladder._answered, it.Hint: Ladder._ignore,
-    it.SliceLoad: Ladder._ignore,
+    it.Stored: Ladder._stored, it.Answered: Ladder._answered,
 }
