--- a/cottonladder/decisions/interface.py
+++ b/cottonladder/decisions/interface.py
@@ -65,7 +65,6 @@
     """What a start hands over: what this instance may do and what it must keep to."""
 
     seed: int
-    me_zone: int
     managers: int
     zones: int
     kinds: tuple[ReqKind, ...]
@@ -73,22 +72,14 @@
     list_on_request: bool
     ask_within: float
     probing: bool
-    peers: bool
-    util_reported: bool
     levels: str
-    usual_further: Further
     slices: int
     single_owner: bool
-    report_every: float
     lines_per_s: float
     head_lines: int
     waiting_most: float
     messages_most: int
     messages_span: float
-    message_late: float
-    message_late_most: float
-    bare_most: float
-    drain_grace: float
     cold_share: float
     fall_multiple: float
     avoids: bool
--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -28,8 +28,7 @@
 LOAD_FLOOR, AVERAGED = 0.1, 10  # least load report that counts; intervals in an estimate (design)
 LINK_OVER, LINK_SPAN = 2.0, 5.0  # over the median a link goes; s its least time is taken over (design)
 CROSS_COST, ABOVE_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
-SLACK, SLACK_FOR_PRICE = 0.05, 0.5  # how far above the mean level; more where crossing zones is priced higher
-LEAST_SHARE = 0.02  # of a zone's demand, below which a group gets no lines of its table
+SLACK, SLACK_FOR_PRICE, LEAST_SHARE = 0.05, 0.5, 0.02  # above the mean level; per crossing price; least
 SLOW_OVER, ERRED_POWER = 1.5, 3.0  # time over base, against the fleet's, left alone; of the answered part
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
 BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # steps of a base time; how far speeds may differ
@@ -41,8 +40,7 @@
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.3, 0.25, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
-ROOM_RULES, ROOM_DELTAS = 0.9, 0.45  # of the lines that may wait, for rule-bearing orders and for deltas
-SLOWEST_CHANNEL = 8.0  # the ledger drains as if the channel were so much slower, until answers say more
+ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 8.0  # of the lines that may wait; until answers come
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
 
@@ -100,7 +98,6 @@
     demand: list[float], steps: list[list[tuple[float, float]]], cost: list[list[float | None]]
 ) -> list[list[float]]:
     """Successive cheapest paths from zones to groups: flow[z][g]; what finds no room is left to overflow.
-
     steps[g] are the group's arcs to the sink (capacity, cost); cost[z][g] is None where there is no link."""
     zones, groups, sink = len(demand), len(steps), 1 + len(demand) + len(steps)
     ends: list[tuple[int, int, float]] = []  # from, to, cost; an arc's reverse is its neighbour (index ^ 1)
@@ -144,12 +141,12 @@
     What went before an answered mark has left; till then the channel is taken for SLOWEST_CHANNEL slower."""
 
     def __init__(self, terms: it.Terms) -> None:
-        self.terms, self.number = terms, 0
+        self.terms, self.number, self.lines = terms, 0, 0
         self.at = self.waiting = self.total = 0.0
         self.before: dict[int, float] = {}  # mark -> lines ordered before it
         self.written: dict[int, list[float]] = {}
         self.orders: list[it.Order] = []
-        self.lines: dict[int, int] = {}
+        self.proxies: list[int] = []  # written by these orders
 
     def open(self, now: float) -> None:
         drained = (now - self.at) * self.terms.lines_per_s / SLOWEST_CHANNEL
@@ -169,40 +166,33 @@
         spread = self.at - times[-1] >= self.terms.messages_span / most
         return len(times) < (most if spread else most / 2)
 
-    def _count(self, lines: Iterable[int], messages: int) -> int:
-        return sum(lines) + messages * (self.terms.head_lines + 1)
-
     def put(self, orders: list[it.Order], cost: dict[int, int], rules: bool) -> bool:
         """Take the orders if they fit; cost is lines by proxy, to which heads and marks are added."""
-        fresh = [p for p in cost if p not in self.lines]
-        lines = self._count(self.lines.values(), len(self.lines)) + self._count(cost.values(), len(fresh))
-        room = self.terms.waiting_most * (ROOM_RULES if rules else ROOM_DELTAS)
-        if cost and (self.waiting + lines > room or not all(self._may_write(p, rules) for p in fresh)):
+        fresh = [p for p in cost if p not in self.proxies]
+        lines = sum(cost.values()) + len(fresh) * (self.terms.head_lines + 1)
+        free = self.terms.waiting_most * (ROOM_RULES if rules else ROOM_DELTAS) - self.waiting - self.lines
+        if cost and (lines > free or not all(self._may_write(p, rules) for p in fresh)):
             return False
         self.orders += orders
-        for proxy, count in cost.items():
-            self.lines[proxy] = self.lines.get(proxy, 0) + count
+        self.proxies += fresh
+        self.lines += lines
         return True
 
     def close(self) -> tuple[list[it.Order], int]:
         """What goes out now, and the number of its mark (-1 where no proxy is written)."""
         orders, mark = self.orders, -1
-        if self.lines:
+        if self.proxies:
             self.number = mark = (self.number + 1) % 65536
             orders.append(it.Mark(mark, False))
             self.before[mark] = self.total
             self.before.pop((mark - 256) % 65536, None)
-            lines = self._count(self.lines.values(), len(self.lines))
-            self.waiting, self.total = self.waiting + lines, self.total + lines
-            for proxy in self.lines:
-                self.written[proxy] = [*self._recent(proxy), self.at]
-        self.orders, self.lines = [], {}
+            self.waiting, self.total = self.waiting + self.lines, self.total + self.lines
+            self.written.update({p: [*self._recent(p), self.at] for p in self.proxies})
+        self.orders, self.proxies, self.lines = [], [], 0
         return orders, mark
 
 
 class Ladder:
-    """One manager's decisions."""
-
     def __init__(self, terms: it.Terms) -> None:
         self.terms, self.zones, self.gate = terms, range(terms.zones), Gate(terms)
         self.uniform: Callable[[float, float], float] = random.Random(terms.seed).uniform
@@ -250,18 +240,17 @@
             return
         if listing.news != it.News.CACHED:
             self.follow_at, self.follow_wait = math.inf, 0.5
-        if listing.news != it.News.DELTA:
-            named = {e.be for e in listing.entries}
-            for index in [i for i in self.bes if i not in named]:
-                self._step(index, "leaving", "not listed")
+        named = {e.be for e in listing.entries} if listing.news != it.News.DELTA else self.bes.keys()
+        for index in [i for i in self.bes if i not in named]:
+            self._step(index, "leaving", "not listed")
         for e in listing.entries:
             be = self.bes.setdefault(e.be, Be(self.tightest / 64))
-            age, anew = self.now - e.started, e.started > be.started
+            anew = be.started < e.started > self.now - self.terms.warm_after
             be.zone, be.weight, be.started = e.zone, max(e.weight, 1e-6), e.started
             if e.mode != it.Mode.READY:
                 self._step(e.be, "leaving", e.mode.name.lower())
-            elif anew and age < self.terms.warm_after:
-                self._step(e.be, "started", f"{age:.1f} s ago")
+            elif anew:
+                self._step(e.be, "started", f"{self.now - e.started:.1f} s ago")
             else:
                 self._step(e.be, "seen" if self.listed else "listed", "listed")
         self.listed = True
@@ -284,8 +273,7 @@
 
     def _shut(self, be: Be) -> None:
         be.due = self.now + be.wait * self.uniform(0.9, 1.1)
-        be.wait = min(be.wait * 2, OUT_WAIT_MOST)
-        be.planned = 0.0
+        be.wait, be.planned = min(be.wait * 2, OUT_WAIT_MOST), 0.0
 
     def _tally(self, t: it.Tally) -> None:
         be = self.bes.get(t.be)
@@ -398,8 +386,7 @@
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
         before, strained = self.let_in, self.strained
         down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) if strained > 1.0 else 0.0
-        self.let_in += LEVEL_UP if strained < LEVEL_CALM else -down
-        self.let_in = min(1.0, max(LEVEL_FLOOR, self.let_in))
+        self.let_in = min(1.0, max(LEVEL_FLOOR, before + (LEVEL_UP if strained < LEVEL_CALM else -down)))
         if (before < 1.0) != (self.let_in < 1.0):
             self.out.append(it.Remark(f"levels {before:.2f}>{self.let_in:.2f}: overload {strained:.2f}"))
         for be in self.bes.values():
@@ -407,7 +394,7 @@
 
     def _overload(self, live: list[Be]) -> float:
         """How far most servers show overload, from 1: in errors, in time, in reqs held over their rate
-        (Little's law; the freshest sign), or in their load reports.  What few servers show is trouble, not overload."""
+        (Little's law; the freshest sign), or in their load reports.  What few show is trouble."""
         held = sum(be.held for be in live if be.held >= 0 and be.planned > 0)
         queue = held / max(1e-9, sum(be.planned for be in live if be.held >= 0))
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
@@ -515,13 +502,13 @@
         for z, table in enumerate(self.tables):
             if self.now - table.at > ANSWER_WAIT:
                 table.pace = PACE.get((table.pace, "late"), table.pace)
-            if table.want:
-                self._send_delta(z, table, touched)
-        orders, mark = self.gate.close()
+            self._send_delta(z, table, touched)
+        wrote, (orders, mark) = self.gate.proxies, self.gate.close()
         self.out += orders
         for z in touched:
             table = self.tables[z]
-            table.mark, table.at, table.answers, table.asked = mark, self.now, 0, self._users(z)
+            table.mark, table.at, table.answers = mark, self.now, 0
+            table.asked = [p for p in self._users(z) if p in wrote]
             table.pace = PACE[table.pace, "sent"]
 
     def _send_cordon(self, i: int, be: Be) -> None:
@@ -538,16 +525,13 @@
                 del self.tables[z].sent[i]
 
     def _send_binds(self, touched: list[int]) -> None:
-        fresh = [(-proxy.rate, p) for p, proxy in self.proxies.items() if not proxy.bound]
-        for _, p in sorted(fresh):
-            proxy = self.proxies[p]
-            table = self.tables[proxy.zone]
+        for _, p in sorted((-proxy.rate, p) for p, proxy in self.proxies.items() if not proxy.bound):
+            proxy, table = self.proxies[p], self.tables[self.proxies[p].zone]
             if not table.want:
                 continue
             if not self._users(proxy.zone):  # nobody reads the table: laying it costs nothing
                 self.gate.put(self._changes(proxy.zone, table, 0.0), {}, True)
-            cost = 2 + len(table.sent) + len(table.levels)
-            if self.gate.put([it.Bind(p, proxy.zone, 0)], {p: cost}, True):
+            if self.gate.put([it.Bind(p, proxy.zone, 0)], {p: 2 + len(table.sent) + len(table.levels)}, True):
                 proxy.bound = True
                 touched.append(proxy.zone)
 
@@ -555,7 +539,7 @@
         users = self._users(z)
         drops = [self.bes[i] for i in table.sent if i not in table.want]
         shut = any(be.state in (OUT, GONE) or self._cold(be) for be in drops)  # bears on a rule or on silence
-        if not users or (table.pace == WAITING and not shut):
+        if not users or not table.want or (table.pace == WAITING and not shut):
             return
         was, levels = table.sent, dict(table.levels)
         orders = self._changes(z, table, MOVE)
--- a/cottonladder/simhost/codec.py
+++ b/cottonladder/simhost/codec.py
@@ -56,7 +56,6 @@
         fam = field(info, "FamilyInfo", dict, where)
         rules = field(info, "Rules", dict, where)
         limits = field(info, "Limits", dict, where)
-        stats = field(info, "Stats", dict, where)
         prices = field(info, "Prices", dict, where)
         kinds = tuple(
             it.ReqKind(
@@ -71,7 +70,6 @@
         )
         return it.Terms(
             seed=seed,
-            me_zone=self._zone(field(info, "Az", str, where), where),
             managers=field(info, "NInstances", int, where),
             zones=len(self.zones),
             kinds=kinds,
@@ -79,23 +77,14 @@
             list_on_request=field(info, "Discovery", str, where) == "subscribe",
             ask_within=_seconds(rules, "AskWithinMs", where, 0.0),
             probing=field(limits, "Probing", bool, where, False),
-            peers=field(limits, "Peers", bool, where, False),
-            util_reported=field(stats, "Via", str, where, "none") == "answers"
-            and "util" in field(stats, "Fields", list, where, []),
             levels=field(fam, "ThrottleBy", str, where, "none"),
-            usual_further=it.Further(field(fam, "BaseMode", int, where, 0)),
             slices=field(fam, "KeyRanges", int, where, 0),
             single_owner=field(fam, "SingleWriter", bool, where, False),
-            report_every=_seconds(fam, "ReportEveryMs", where),
             lines_per_s=float(field(fam, "EgressPerS", _NUMBER, where)),
             head_lines=int(field(fam, "Head", _NUMBER, where)),
             waiting_most=float(field(fam, "PendingMax", _NUMBER, where)),
             messages_most=int(field(fam, "ReloadsMax", _NUMBER, where, 0)),
             messages_span=_seconds(fam, "ReloadSpanMs", where, 0.0),
-            message_late=_seconds(fam, "LateMs", where),
-            message_late_most=_seconds(fam, "PushDelayMaxMs", where),
-            bare_most=_seconds(fam, "BareMs", where),
-            drain_grace=_seconds(rules, "DrainGraceMs", where),
             cold_share=float(field(rules, "ColdFrom", _NUMBER, where)),
             fall_multiple=float(field(rules, "FallMultiple", _NUMBER, where)),
             avoids=field(fam, "Strikes", _NUMBER, where, 0) > 0,
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,225 @@
+"""Plays every scenario in tests/scenarios against the decisions, without any bench.
+
+Grammar, a word group a line; `#` starts a comment.  Backends are b0, b1 .., proxies p0, p1 .., times seconds.
+
+    terms NAME=VALUE ..            replaces values of the usual terms (below); comes first
+    T list NEWS ITEM ..            NEWS is full, delta, cached or failed; an ITEM is bN@ZONE with, if wanted,
+                                   *WEIGHT, /draining or /gone, and ^STARTED (a time)
+    T join pN@ZONE RATE [kept]     a proxy joins; kept: it holds tables of another manager
+    T left pN | T answer           its stream breaks | every mark sent so far is answered by all who got it
+    T tally bN@ZONE TRIES/ERRED MS [NAME=VALUE ..]    sums of one second, with a load report
+    T ingress pN KIND REQS         sums of one second
+    T probed bN MS|lost [NAME=VALUE ..]
+    T given TABLE on|off | T stored TABLE bN WEIGHT | T hint WORDS | T wake TOKEN
+    until T [answering]            lets the module's own wakes come; answering: marks answered at each
+    every S until T LINE           the input LINE (without its time) each S seconds
+    expect table Z has|lacks bN .. | expect table Z bN < SHARE | expect table Z bN > SHARE
+    expect cordoned bN .. | expect open bN .. | expect bound pN .. (in that order) | expect unbound pN ..
+    expect level Z KIND < SHARE | expect level Z KIND > SHARE
+    expect waiting < LINES | expect messages pN < COUNT | expect order NAME | expect no order NAME
+    expect further NAME            the only way of trying further that was ordered
+    expect log WORDS
+"""
+
+from __future__ import annotations
+
+import unittest
+from collections import defaultdict
+from dataclasses import replace
+from pathlib import Path
+
+from cottonladder.decisions import interface as it
+from cottonladder.decisions.rules import Ladder
+
+FOLDER = Path(__file__).parent / "scenarios"
+KINDS = (
+    it.ReqKind(0.8, 2.5, 1.0, it.Repeat.REPLAYABLE, 0.0, False),
+    it.ReqKind(1.0, 2.5, 3.0, it.Repeat.NON_REPLAYABLE, 0.0, False),
+)
+USUAL = it.Terms(
+    seed=7, managers=1, zones=2, kinds=KINDS, proxies=2, list_on_request=False, ask_within=10.0,
+    probing=False, levels="ratio", slices=0, single_owner=False, lines_per_s=3000.0, head_lines=10,
+    waiting_most=5000.0, messages_most=0, messages_span=10.0, cold_share=0.2, fall_multiple=3.0, avoids=False,
+    warm_after=15.0, cross_zone_price=0.02, probe_price=0.02,
+)  # fmt: skip
+
+
+class Player:
+    """Feeds one instance and keeps what its orders amount to."""
+
+    def __init__(self) -> None:
+        self.terms, self.ladder = USUAL, Ladder(USUAL)
+        self.now, self.token, self.wake_at = 0.0, -1, -1.0
+        self.tables: dict[int, dict[int, float]] = defaultdict(dict)
+        self.levels: dict[tuple[int, int], float] = {}
+        self.users: dict[int, int] = {}
+        self.orders: list[it.Order] = []
+        self.marks: list[tuple[int, int]] = []
+        self.written: dict[int, list[float]] = defaultdict(list)
+
+    def feed(self, *items: it.Input) -> None:
+        joined = [i.proxy for i in items if isinstance(i, it.Joined)]
+        reached: set[int] = set()
+        for order in self.ladder.decide(self.now, list(items)):
+            self.orders.append(order)
+            if isinstance(order, it.SetLine):
+                self.tables[order.table][order.be] = order.weight
+                if order.weight <= 0:
+                    del self.tables[order.table][order.be]
+                reached |= {p for p, table in self.users.items() if table == order.table}
+            elif isinstance(order, it.Level):
+                self.levels[order.table, order.kinds.bit_length() - 1] = order.let_in
+            elif isinstance(order, it.Bind):
+                self.users.pop(order.proxy, None)
+                self.users[order.proxy] = order.table
+                reached.add(order.proxy)
+            elif isinstance(order, it.Cordon):
+                reached |= set(self.users) | set(joined)
+            elif isinstance(order, it.WakeIn):
+                self.token, self.wake_at = order.token, self.now + order.after
+            elif isinstance(order, it.Mark):
+                self.marks += [(p, order.number) for p in sorted(reached)]
+        for p in reached:
+            self.written[p].append(self.now)
+
+    def until(self, end: float, answering: bool) -> None:
+        while 0 <= self.wake_at <= end:
+            self.now = self.wake_at
+            if answering:
+                self.answer()
+            self.feed(it.Wake(self.token))
+        self.now = end
+
+    def answer(self) -> None:
+        marks, self.marks = self.marks, []
+        self.feed(*(it.Answered(p, mark, 0.3) for p, mark in marks))
+
+    def line(self, words: list[str]) -> None:
+        if words[0] == "terms":
+            pairs = [w.split("=") for w in words[1:]]
+            self.terms = replace(USUAL, **{k: type(getattr(USUAL, k))(_value(v)) for k, v in pairs})
+            self.ladder = Ladder(self.terms)
+        elif words[0] == "until":
+            self.until(float(words[1]), words[2:] == ["answering"])
+        elif words[0] == "every":
+            step, end, base = float(words[1]), float(words[3]), self.now
+            for n in range(1, round((end - base) / step) + 1):
+                self.until(base + n * step, True)
+                self.input(words[4], words[5:])
+        elif words[0] == "expect":
+            if not self.holds(words[1:]):
+                raise AssertionError("does not hold")
+        else:
+            self.until(float(words[0]), False)
+            self.input(words[1], words[2:])
+
+    def input(self, verb: str, args: list[str]) -> None:
+        report = {k: float(v) for k, v in (a.split("=") for a in args if "=" in a)}
+        if verb == "list":
+            self.feed(it.Listing(it.News[args[0].upper()], tuple(_entry(a) for a in args[1:])))
+        elif verb == "join":
+            proxy, zone = args[0][1:].split("@")
+            self.feed(it.Joined(int(proxy), int(zone), float(args[1]), "kept" not in args))
+        elif verb == "left":
+            self.users.pop(int(args[0][1:]), None)
+            self.feed(it.Left(int(args[0][1:])))
+        elif verb == "answer":
+            self.answer()
+        elif verb == "tally":
+            be, zone = args[0][1:].split("@")
+            tries, erred = args[1].split("/")
+            took = float(args[2]) / 1000
+            self.feed(it.Tally(int(be), int(zone), int(tries), int(erred), 1.0, took, report))
+        elif verb == "ingress":
+            self.feed(it.Ingress(int(args[0][1:]), int(args[1]), int(args[2]), 0, 1.0))
+        elif verb == "probed":
+            took = 0.0 if args[1] == "lost" else float(args[1]) / 1000
+            self.feed(it.Probed(int(args[0][1:]), args[1] != "lost", took, report))
+        elif verb == "given":
+            self.feed(it.Given(int(args[0]), args[1] == "on"))
+        elif verb == "stored":
+            self.feed(it.Stored(int(args[0]), int(args[1][1:]), float(args[2])))
+        elif verb == "hint":
+            self.feed(it.Hint(1, " ".join(args)))
+        elif verb == "wake":
+            self.feed(it.Wake(int(args[0])))
+        else:
+            raise ValueError(f"unknown word {verb}")
+
+    def holds(self, words: list[str]) -> bool:
+        what, args = words[0], words[1:]
+        ids = [int(a[1:]) for a in args if a[0] in "bp" and a[1:].isdigit()]
+        if what == "table" and args[1] in ("has", "lacks"):
+            return all((i in self.tables[int(args[0])]) == (args[1] == "has") for i in ids)
+        if what == "table":
+            table = self.tables[int(args[0])]
+            return _compare(table.get(ids[0], 0.0) / max(sum(table.values()), 1e-9), args[2], args[3])
+        if what in ("cordoned", "open"):
+            last = {o.be: o.on for o in self.orders if isinstance(o, it.Cordon)}
+            return all(last.get(i, False) == (what == "cordoned") for i in ids)
+        if what == "bound":
+            return [p for p in self.users if p in ids] == ids
+        if what == "unbound":
+            return not any(i in self.users for i in ids)
+        if what == "level":
+            return _compare(self.levels.get((int(args[0]), int(args[1])), 1.0), args[2], args[3])
+        if what == "waiting":
+            return _compare(self.ladder.gate.waiting, args[0], args[1]) and self.ladder.gate.waiting >= 0
+        if what == "messages":
+            times = self.written[ids[0]]
+            worst = max((sum(t - 10.0 < u <= t for u in times) for t in times), default=0)
+            return _compare(worst, args[1], args[2])
+        if what == "further":
+            return {o.further.name.lower() for o in self.orders if isinstance(o, it.Level)} == set(args)
+        if what in ("order", "no"):
+            return any(type(o).__name__ == args[-1] for o in self.orders) == (what == "order")
+        if what == "log":
+            return any(isinstance(o, it.Remark) and " ".join(args) in o.text for o in self.orders)
+        raise ValueError(f"unknown word {what}")
+
+
+def _value(text: str) -> object:
+    return {"yes": True, "no": False}.get(text, text if text.isalpha() else float(text))
+
+
+def _compare(value: float, sign: str, bound: str) -> bool:
+    return value < float(bound) if sign == "<" else value > float(bound)
+
+
+def _entry(text: str) -> it.Entry:
+    text, _, started = text.partition("^")
+    text, _, mode = text.partition("/")
+    text, _, weight = text.partition("*")
+    be, zone = text[1:].split("@")
+    state = it.Mode[mode.upper()] if mode else it.Mode.READY
+    return it.Entry(int(be), int(zone), state, float(weight or 1), float(started or 0))
+
+
+def play(path: Path) -> None:
+    player = Player()
+    for number, raw in enumerate(path.read_text().splitlines(), 1):
+        words = raw.split("#")[0].split()
+        if words:
+            try:
+                player.line(words)
+            except (AssertionError, ValueError, KeyError, IndexError, AttributeError) as exc:
+                raise AssertionError(f"{path.name}:{number}: {raw.strip()}: {exc}") from exc
+
+
+class Scenarios(unittest.TestCase):
+    def test_scenarios(self) -> None:
+        paths = sorted(FOLDER.glob("*.txt"))
+        self.assertTrue(paths)
+        for path in paths:
+            with self.subTest(path.name):
+                play(path)
+
+    def test_an_unknown_word_is_named_with_its_place(self) -> None:
+        for line in ("0 lost p1", "expect tabel 0 has b0", "maybe"):
+            player = Player()
+            with self.subTest(line), self.assertRaises(ValueError):
+                player.line(line.split())
+
+
+if __name__ == "__main__":
+    unittest.main()
