--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -203,6 +203,7 @@
         self.slices: dict[int, dict[int, float]] = {}
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
+        self.whole = 1.0
         self.beat, self.follow_wait, self.urgent, self.listed = 0, 0.5, False, False
         self.strain, self.strained, self.let_in = 0.0, 0.0, 1.0  # errored part; overload; let in
         self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, last's
@@ -412,7 +413,8 @@
             speed = base / be.base if be.base > 0 else 1.0
             heard.setdefault(i, be.weight * unit * min(SPEED_SPAN, max(1 / SPEED_SPAN, speed)))
         full = {i: heard[i] for i in live}
-        average = sum(full.values()) / len(full) if full else 1.0
+        self.whole = sum(full.values())  # before any trouble: what cold servers' parts are measured by
+        average = self.whole / len(full) if full else 1.0
         for i, be in live.items():
             full[i] *= be.slowness
             if be.state == RAMP:
@@ -480,7 +482,7 @@
             want = {i: shares[g] * full[i] / room[g] for g in kept for i in groups[g]}
             if warm and not any(i in warm for i in want):
                 want = {i: c / sum(warm.values()) for i, c in warm.items()}
-            most = COLD_OVER * level / total if total > 0 else math.inf
+            most = COLD_OVER * sum(demand) / self.whole / total if total > 0 else math.inf
             table.want = {i: w if i in warm else min(w, most * full[i]) for i, w in want.items()}
         for g in self.zones:
             total = sum(flow[z][g] for z in self.zones)
@@ -537,8 +539,12 @@
 
     def _send_delta(self, z: int, table: Table, touched: list[int]) -> None:
         users = self._users(z)
-        drops = [self.bes[i] for i in table.sent if i not in table.want]
-        shut = any(be.state in (OUT, GONE) or self._cold(be) for be in drops)  # bears on a rule or on silence
+        part = COLD_OVER * sum(table.sent.values()) / max(1e-9, sum(table.want.values()))
+        shut = any(  # bears on a rule: a line of a server that is out, or too heavy a line of a cold one
+            (self.bes[i].state == OUT and i not in table.want)
+            or (self._cold(self.bes[i]) and w > part * table.want.get(i, 0.0))
+            for i, w in table.sent.items()
+        )
         if not users or not table.want or (table.pace == WAITING and not shut):
             return
         was, levels = table.sent, dict(table.levels)
