--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -61,8 +61,7 @@
         place = int(math.log(max(took, self.least) / self.least) / math.log(BIN_STEP))
         self.bins[min(place, BINS - 1)] += tries
 
-    def mean(self) -> float:
-        """The geometric mean of its response times, or 0 where too little was heard."""
+    def mean(self) -> float:  # geometric; 0 where too little was heard
         total = sum(self.bins)
         place = sum((i + 0.5) * n for i, n in enumerate(self.bins)) / max(total, 1.0)
         return float(self.least * BIN_STEP**place) if total >= 2.0 else 0.0
@@ -203,9 +202,8 @@
         self.slices: dict[int, dict[int, float]] = {}
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
-        self.whole = 1.0
         self.beat, self.follow_wait, self.urgent, self.listed = 0, 0.5, False, False
-        self.strain, self.strained, self.let_in = 0.0, 0.0, 1.0  # errored part; overload; let in
+        self.strain, self.strained, self.let_in, self.whole = 0.0, 0.0, 1.0, 1.0  # errored part; overload
         self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, last's
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
 
@@ -348,9 +346,9 @@
         for i, be in self.bes.items():
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
-            heard = e > 0 and n >= BAD_LEAST * (be.first / NEW_SHARE if be.state == RAMP else 1.0)
-            silent = (heard and e >= SILENT_SHARE * n and others < SILENT_SHARE / 2) or be.lost >= PROBES_LOST
-            if be.state in LIVE and silent and shut + be.weight <= most:
+            heard = n >= BAD_LEAST * (be.first / NEW_SHARE if be.state == RAMP else 1.0)
+            silent = heard and e >= SILENT_SHARE * n and others < SILENT_SHARE / 2
+            if be.state in LIVE and (silent or be.lost >= PROBES_LOST) and shut + be.weight <= most:
                 shut += be.weight
                 self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
             elif be.state == RAMP and self._ease(be) >= 4.0:
@@ -369,7 +367,7 @@
     def _measure(self) -> None:
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
         for be in self.bes.values():
-            if be.load >= 0 and be.rate > 0:
+            if be.load >= 0 and be.rate > 0 and not self._cold(be):
                 be.measured.append(be.rate / max(LOAD_FLOOR, be.load) / max(0.05, self.part[be.zone]))
             be.rate = 0.0
             if (mean := be.mean()) > 0:
@@ -406,13 +404,13 @@
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate now."""
         live = self._in(*LIVE) or self._in(OUT)
-        heard = {i: sum(be.measured) / len(be.measured) for i, be in live.items() if be.measured}
-        unit = sum(heard.values()) / sum(live[i].weight for i in heard) if heard else 1.0
-        base = middle(be.base for be in live.values() if be.base > 0)  # listed sizes know no speed: times do
+        heard = {i: sum(be.measured) / len(be.measured) / be.weight for i, be in live.items() if be.measured}
+        unit = middle(heard.values()) or 1.0  # listed sizes know no speed: capacities or else base times do
+        base = middle(be.base for be in live.values() if be.base > 0)
+        full = {}
         for i, be in live.items():
-            speed = base / be.base if be.base > 0 else 1.0
-            heard.setdefault(i, be.weight * unit * min(SPEED_SPAN, max(1 / SPEED_SPAN, speed)))
-        full = {i: heard[i] for i in live}
+            speed = heard[i] / unit if i in heard else base / be.base if be.base > 0 else 1.0
+            full[i] = be.weight * unit * min(SPEED_SPAN, max(1 / SPEED_SPAN, speed))
         self.whole = sum(full.values())  # before any trouble: what cold servers' parts are measured by
         average = self.whole / len(full) if full else 1.0
         for i, be in live.items():
@@ -540,11 +538,8 @@
     def _send_delta(self, z: int, table: Table, touched: list[int]) -> None:
         users = self._users(z)
         part = COLD_OVER * sum(table.sent.values()) / max(1e-9, sum(table.want.values()))
-        shut = any(  # bears on a rule: a line of a server that is out, or too heavy a line of a cold one
-            (self.bes[i].state == OUT and i not in table.want)
-            or (self._cold(self.bes[i]) and w > part * table.want.get(i, 0.0))
-            for i, w in table.sent.items()
-        )
+        heavy = [self.bes[i] for i, w in table.sent.items() if w > part * table.want.get(i, 0.0)]
+        shut = any(be.state == OUT or self._cold(be) for be in heavy)  # bears on a rule, or on silence
         if not users or not table.want or (table.pace == WAITING and not shut):
             return
         was, levels = table.sent, dict(table.levels)
