--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -480,7 +480,7 @@
             want = {i: shares[g] * full[i] / room[g] for g in kept for i in groups[g]}
             if warm and not any(i in warm for i in want):
                 want = {i: c / sum(warm.values()) for i, c in warm.items()}
-            most = COLD_OVER * sum(demand) / self.whole / total if total > 0 else math.inf
+            most = COLD_OVER / max(1.0, self.strained) * sum(demand) / self.whole / max(total, 1e-9)
             table.want = {i: w if i in warm else min(w, most * full[i]) for i, w in want.items()}
         for g in self.zones:
             total = sum(flow[z][g] for z in self.zones)
