--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -412,18 +412,20 @@
             speed = heard[i] / unit if i in heard else base / be.base if be.base > 0 else 1.0
             full[i] = be.weight * unit * min(SPEED_SPAN, max(1 / SPEED_SPAN, speed))
         self.whole = sum(full.values())  # before any trouble: what cold servers' parts are measured by
-        average = self.whole / len(full) if full else 1.0
+        average, cold = self.whole / len(full) if full else 1.0, dict[int, float]()
         for i, be in live.items():
             full[i] *= be.slowness
             if be.state == RAMP:
                 full[i] = min(full[i], average * self._ease(be))
             if self._cold(be):
-                # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to cold ones at any
-                # weight: there those get no line under strain.  Harms when a deploy meets an overload.
                 age = (self.now - be.started) / self.terms.warm_after
-                share = self.terms.cold_share + (1.0 - self.terms.cold_share) * age
-                strain = max(COLD_CALM * self.strain, self.strained) if self.terms.avoids else self.strain
-                full[i] *= share * min(1.0, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
+                cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
+        # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to cold ones at any weight: there
+        # few cold ones get no line under strain.  Harms when a deploy meets an overload.
+        few = self.terms.avoids and self.terms.fall_multiple * sum(cold.values()) < COLD_OVER * self.whole
+        strain = max(COLD_CALM * self.strain, self.strained) if few else self.strain
+        for i, room in cold.items():
+            full[i] = room * min(1.0, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
     def _demand(self) -> tuple[list[float], list[float]]:
