--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -37,7 +37,7 @@
 OUT_MOST, OUT_WAIT, OUT_WAIT_MOST = 0.34, 4.0, 16.0  # of capacity shut out; s to a trial, doubled each time
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_PART, COLD_CALM, COLD_OVER = 0.32, 12.0, 1.5  # of the multiple; 1/errors for none; over the level
-COLD_FEW, COLD_MANY = 0.6, 0.33  # of the fleet over the multiple: many; the part of strain that counts then
+COLD_FEW, COLD_MANY, COLD_YOUNG = 0.7, 0.33, 0.45  # of the fleet: many; strain's part then; younger: never
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.3, 0.25, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
@@ -424,9 +424,9 @@
         # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to cold ones at any weight: there
         # few cold ones get no line under strain.  Harms when a deploy meets an overload.
         many = self.terms.fall_multiple * sum(cold.values()) >= COLD_FEW * self.whole
-        strain = max(COLD_CALM * self.strain, self.strained) * (COLD_MANY if many else 1.0)
-        strain = strain if self.terms.avoids else self.strain
         for i, room in cold.items():
+            strain = max(COLD_CALM * self.strain, self.strained) if self.terms.avoids else self.strain
+            strain *= COLD_MANY if many and self.terms.avoids and room > COLD_YOUNG * full[i] else 1.0
             full[i] = room * min(1.0, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
