--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -24,7 +24,7 @@
 from . import interface as it
 
 INTERVAL, BEAT, ANSWER_WAIT = 2.0, 0.25, 3.0  # s: between solutions, looks; for answers (design)
-MOVE, NEW_SHARE = 0.1, 0.25  # part of a weight that moves; of average, a new server's start (design)
+MOVE, NEW_SHARE, TRIAL_SHARE = 0.1, 0.25, 0.1  # part that moves; of average, a start; after out
 LOAD_FLOOR, AVERAGED = 0.1, 10  # least load report that counts; intervals in an estimate (design)
 LINK_OVER, LINK_SPAN = 2.0, 5.0  # over the median a link goes; s its least time is taken over (design)
 CROSS_COST, ABOVE_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
@@ -33,10 +33,10 @@
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
 BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # steps of a base time; how far speeds may differ
 KEEP, BIN_STEP, BINS = 0.5, 1.5, 16  # of what was counted, each interval; ratio of time bins; how many
-SILENT_SHARE, BAD_LEAST, TRIAL_SHARE = 0.85, 4.0, 0.1  # errored part, least tries; of average, to start again
+SILENT_SHARE, CALM_SHARE, BAD_LEAST = 0.85, 0.2, 4.0  # errored part, the others' at most; least tries
 OUT_MOST, OUT_WAIT, OUT_WAIT_MOST = 0.34, 4.0, 16.0  # of capacity shut out; s to a trial, doubled each time
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
-COLD_PART, COLD_CALM, COLD_OVER = 0.32, 12.0, 1.5  # of the multiple; 1/errors for none; over the level
+COLD_PART, COLD_MOST, COLD_CALM, COLD_OVER = 0.3, 0.85, 12.0, 1.5  # of the multiple; 1/errors for none; over
 COLD_FEW, COLD_MANY, COLD_YOUNG = 0.7, 0.33, 0.45  # of the fleet: many; strain's part then; younger: never
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.3, 0.25, 0.1, 0.8  # steps of what is let in; rises under
@@ -210,10 +210,9 @@
 
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
         self.now = now
-        if self.beat == 0:
-            self._wake(it.Wake(0))
-        for item in inputs:
-            TAKE.get(type(item), Ladder._left_aside)(self, item)
+        for item in [it.Wake(0), *inputs] if self.beat == 0 else inputs:
+            if type(item) in TAKE:  # nothing rests on hints and slices' loads
+                TAKE[type(item)](self, item)
         if self.listed and (self.urgent or now >= self.solve_at):
             self._solve()
         self.gate.open(now)
@@ -348,7 +347,7 @@
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
             heard = n >= BAD_LEAST * (be.first / NEW_SHARE if be.state == RAMP else 1.0)
-            silent = heard and e >= SILENT_SHARE * n and others < SILENT_SHARE / 2
+            silent = heard and e >= SILENT_SHARE * n and others < CALM_SHARE
             if be.state in LIVE and (silent or be.lost >= PROBES_LOST) and shut + be.weight <= most:
                 shut += be.weight
                 self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
@@ -372,8 +371,7 @@
                 be.measured.append(be.rate / max(LOAD_FLOOR, be.load) / max(0.05, self.part[be.zone]))
             be.rate = 0.0
             if (mean := be.mean()) > 0:
-                step = 1.0 if be.base == 0 else BASE_FALL if mean < be.base else BASE_RISE
-                be.base += (mean - be.base) * step
+                be.base += (mean - be.base) * (BASE_FALL if mean < be.base else BASE_RISE if be.base else 1.0)
         live = self._in(*LIVE)
         over = {i: be.mean() / be.base for i, be in live.items() if be.base > 0}
         bad = {i: be.errored / be.tries for i, be in live.items() if be.tries >= 1.0}
@@ -421,13 +419,13 @@
             if self._cold(be):
                 age = (self.now - be.started) / self.terms.warm_after
                 cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
-        # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to cold ones at any weight: there
-        # few cold ones get no line under strain.  Harms when a deploy meets an overload.
+        # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to cold ones at any weight:
+        # there few or young ones get no line under strain.  Harms when a deploy meets an overload.
         many = self.terms.fall_multiple * sum(cold.values()) >= COLD_FEW * self.whole
         for i, room in cold.items():
             strain = max(COLD_CALM * self.strain, self.strained) if self.terms.avoids else self.strain
             strain *= COLD_MANY if many and self.terms.avoids and room > COLD_YOUNG * full[i] else 1.0
-            full[i] = room * min(1.0, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
+            full[i] = room * min(COLD_MOST, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
     def _demand(self) -> tuple[list[float], list[float]]:
@@ -484,7 +482,7 @@
             want = {i: shares[g] * full[i] / room[g] for g in kept for i in groups[g]}
             if warm and not any(i in warm for i in want):
                 want = {i: c / sum(warm.values()) for i, c in warm.items()}
-            most = COLD_OVER / max(1.0, self.strained) * sum(demand) / self.whole / max(total, 1e-9)
+            most = COLD_OVER / max(1.0, self.strained) * sum(demand) / max(self.whole * total, 1e-9)
             table.want = {i: w if i in warm else min(w, most * full[i]) for i, w in want.items()}
         for g in self.zones:
             total = sum(flow[z][g] for z in self.zones)
@@ -611,9 +609,6 @@
             if self.gate.put(orders, dict.fromkeys(self.proxies, len(orders)), True):
                 self.slices[t] = stays
 
-    def _left_aside(self, item: it.Input) -> None:
-        """Hints and slices' loads: no rule and no weight rests on them."""
-
 
 Effect = Callable[[Ladder, Be], None]
 LIFE: dict[tuple[str, str], tuple[str, Effect | None]] = {
