--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -78,9 +78,7 @@
         self.came: dict[int, float] = {}  # reqs a second by kind, as last heard
 
 
-class Table:
-    """What a zone's proxies were sent, what they should hold, and who has yet to answer its mark."""
-
+class Table:  # what a zone's proxies were sent, what they should hold, who has yet to answer its mark
     def __init__(self) -> None:
         self.sent: dict[int, float] = {}
         self.want: dict[int, float] = {}
@@ -423,8 +421,9 @@
         # there few or young ones get no line under strain.  Harms when a deploy meets an overload.
         many = self.terms.fall_multiple * sum(cold.values()) >= COLD_FEW * self.whole
         for i, room in cold.items():
-            strain = max(COLD_CALM * self.strain, self.strained) if self.terms.avoids else self.strain
-            strain *= COLD_MANY if many and self.terms.avoids and room > COLD_YOUNG * full[i] else 1.0
+            strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0))
+            strain *= COLD_MANY if many and room > COLD_YOUNG * full[i] else 1.0
+            strain = strain if self.terms.avoids else self.strain
             full[i] = room * min(COLD_MOST, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
