--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -41,7 +41,6 @@
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.3, 0.25, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
-LEAN_MOST = 1.6
 ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 8.0  # of the lines that may wait; until answers come
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
@@ -205,7 +204,6 @@
         self.beat, self.follow_wait, self.urgent, self.listed = 0, 0.5, False, False
         self.strain, self.strained, self.let_in, self.whole = 0.0, 0.0, 1.0, 1.0  # errored part; overload
         self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, last's
-        self.lean = [1.0] * terms.zones
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
 
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
@@ -455,11 +453,6 @@
         full = self._estimates()
         groups = [[i for i in full if self.bes[i].zone == g] for g in self.zones]
         room = [sum(full[i] for i in group) for group in groups]
-        over = [middle(be.mean() / be.base for be in map(self.bes.__getitem__, group) if be.base > 0 < be.mean()) for group in groups]
-        usual_over = middle(o for o in over if o > 0)
-        for g in self.zones:
-            aim = min(LEAN_MOST, max(1 / LEAN_MOST, usual_over / over[g])) if over[g] > 0 else 1.0
-            self.lean[g] += (aim - self.lean[g]) * 0.3
         own, others = self._demand()
         demand = [a + b for a, b in zip(own, others, strict=True)]
         usual = middle(v for z in self.zones for g in self.zones if (v := self._latency(z, g)) > 0)
@@ -472,7 +465,7 @@
 
         level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
         above = SLACK + SLACK_FOR_PRICE * self.terms.cross_zone_price
-        steps = [[(c * x * level, 0.0), (c * x * level * above, ABOVE_COST)] for c, x in zip(room, self.lean, strict=True)]
+        steps = [[(c * level, 0.0), (c * level * above, ABOVE_COST)] for c in room]
         flow = least_cost_flow(demand, steps, [[price(z, g) for g in self.zones] for z in self.zones])
         warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
         for z, table in enumerate(self.tables):
