--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -202,7 +202,7 @@
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
         self.beat, self.follow_wait, self.urgent, self.listed = 0, 0.5, False, False
-        self.strain, self.strained, self.let_in, self.whole = 0.0, 0.0, 1.0, 1.0  # errored part; overload
+        self.strain, self.strained, self.level, self.let_in, self.whole = 0.0, 0.0, 0.0, 1.0, 1.0
         self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, last's
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
 
@@ -396,7 +396,7 @@
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
         time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
         load = middle(be.load for be in live if be.load >= 0)
-        return max(erred / STRAIN_ERRED, time / STRAIN_TIME, load / STRAIN_LOAD)
+        return max(erred / STRAIN_ERRED, time / STRAIN_TIME, max(load, self.level * (load > 0)) / STRAIN_LOAD)
 
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate now."""
@@ -463,7 +463,7 @@
                 return None
             return 0.0 if z == g else CROSS_COST
 
-        level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
+        self.level = level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
         above = SLACK + SLACK_FOR_PRICE * self.terms.cross_zone_price
         steps = [[(c * level, 0.0), (c * level * above, ABOVE_COST)] for c in room]
         flow = least_cost_flow(demand, steps, [[price(z, g) for g in self.zones] for z in self.zones])
