--- a/cottonladder/decisions/interface.py
+++ b/cottonladder/decisions/interface.py
@@ -11,14 +11,6 @@
 from enum import IntEnum
 
 
-class Repeat(IntEnum):
-    """What a second run of a req does."""
-
-    REPLAYABLE = 0
-    UNIQUED = 1
-    NON_REPLAYABLE = 2
-
-
 class Mode(IntEnum):
     """What the list says of a backend."""
 
@@ -53,11 +45,7 @@
     """One kind of req, as the operators describe it."""
 
     response_target: float
-    client_timeout: float
     importance: float
-    repeat: Repeat
-    unique_for: float
-    unique_everywhere: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -359,7 +359,7 @@
         return be.started > 0 and self.now - be.started < self.terms.warm_after
 
     def _ease(self, be: Be) -> float:
-        """A new server's share of average: a quarter, doubled each interval (design)."""
+        """A ramp's share of average: a quarter if new, a tenth after being out, doubled each interval."""
         return float(be.first * 2.0 ** min(10.0, max(0.0, self.now - be.since) // INTERVAL))
 
     def _measure(self) -> None:
--- a/cottonladder/simhost/codec.py
+++ b/cottonladder/simhost/codec.py
@@ -12,11 +12,6 @@
     """A message that the wire page does not allow; its text is one plain line."""
 
 
-_REPEAT = {
-    "idempotent": it.Repeat.REPLAYABLE,
-    "deduplicated": it.Repeat.UNIQUED,
-    "at_most_once": it.Repeat.NON_REPLAYABLE,
-}
 _NUMBER = (int, float)
 _MISSING = object()
 
@@ -60,11 +55,7 @@
         kinds = tuple(
             it.ReqKind(
                 response_target=_seconds(p, "TargetMs", where),
-                client_timeout=_seconds(p, "DeadlineMs", where),
                 importance=float(field(p, "Gain", _NUMBER, where)),
-                repeat=self._choice(_REPEAT, field(p, "Repeat", str, where), "Repeat", where),
-                unique_for=_seconds(p, "WindowMs", where, 0.0),
-                unique_everywhere=field(p, "DedupScope", str, where, "") == "all",
             )
             for p in profiles
         )
@@ -93,12 +84,6 @@
             probe_price=float(field(prices, "Probe", _NUMBER, where, 0.0)),
         )
 
-    @staticmethod
-    def _choice(table: dict[str, Any], word: str, name: str, where: str) -> Any:
-        if word not in table:
-            raise WireError(f"{where}: field {name} has an unknown word")
-        return table[word]
-
     def _zone(self, name: str, where: str) -> int:
         if name not in self.zones:
             raise WireError(f"{where}: unknown zone")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -32,10 +32,7 @@
 from cottonladder.decisions.rules import Ladder
 
 FOLDER = Path(__file__).parent / "scenarios"
-KINDS = (
-    it.ReqKind(0.8, 2.5, 1.0, it.Repeat.REPLAYABLE, 0.0, False),
-    it.ReqKind(1.0, 2.5, 3.0, it.Repeat.NON_REPLAYABLE, 0.0, False),
-)
+KINDS = (it.ReqKind(0.8, 1.0), it.ReqKind(1.0, 3.0))
 USUAL = it.Terms(
     seed=7, managers=1, zones=2, kinds=KINDS, proxies=2, list_on_request=False, ask_within=10.0,
     probing=False, levels="ratio", slices=0, single_owner=False, lines_per_s=3000.0, head_lines=10,
