Ledger by answers, deltas in pieces, cheaper withdrawals; held reqs stay

A two-fold slow channel (13 times) broke the backlog rule, and a queue of 4,500 lines ahead of withdrawals the drain rule. Change: deltas go by answers alone, in pieces, largest changes first; only too heavy lines of cold or shut out servers and bare tables use the room held back; a withdrawal costs a line a proxy, its weights go later.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -86,6 +86,10 @@
         self.pace, self.mark, self.at, self.answers = IDLE, -1, 0.0, 0
         self.asked: list[int] = []
 
+    def hold(self, i: int) -> None:  # the wanted line of this server counts as sent
+        self.sent.pop(i, None)
+        self.sent.update({i: self.want[i]} if i in self.want else {})
+
 
 def middle(values: Iterable[float]) -> float:
     seen = list(values)
@@ -136,22 +140,29 @@
 
 class Gate:
     """The one way out for orders to proxies: keeps the queue rule for every path by a ledger of lines.
-    What went before an answered mark has left; till then the channel is taken for SLOWEST_CHANNEL slower."""
+    Deltas go by answers alone: what was written and not answered must leave room (a channel may be a dozen
+    times slower).  Rule-bearing orders can't wait for answers that come late: for them lines also drain with
+    time, SLOWEST_CHANNEL times slower than usual.  Harms: late answers hold deltas back."""
 
     def __init__(self, terms: it.Terms) -> None:
-        self.terms, self.number, self.lines = terms, 0, 0
-        self.at = self.waiting = self.total = 0.0
-        self.before: dict[int, float] = {}  # mark -> lines ordered before it
+        self.terms, self.number = terms, 0
+        self.at = self.waiting = self.flying = 0.0  # lines: by time or answers; by answers alone
+        self.flight: dict[int, dict[int, int]] = {}  # mark -> lines by proxy that has yet to answer
         self.written: dict[int, list[float]] = {}
         self.orders: list[it.Order] = []
-        self.proxies: list[int] = []  # written by these orders
+        self.lines: dict[int, int] = {}  # by proxy written by these orders
 
     def open(self, now: float) -> None:
         drained = (now - self.at) * self.terms.lines_per_s / SLOWEST_CHANNEL
         self.waiting, self.at = max(0.0, self.waiting - drained), now
 
-    def answered(self, mark: int) -> None:
-        self.waiting = min(self.waiting, self.total - self.before.get(mark, 0.0))
+    def answered(self, mark: int, proxy: int) -> None:
+        if mark not in self.flight:
+            return
+        while (first := next(iter(self.flight))) != mark:  # the channel keeps their order: these have left
+            self.flying -= sum(self.flight.pop(first).values())
+        self.flying -= self.flight[mark].pop(proxy, 0)
+        self.waiting = min(self.waiting, self.flying)
 
     def _recent(self, proxy: int) -> list[float]:
         return [t for t in self.written.get(proxy, []) if self.at - t <= self.terms.messages_span]
@@ -164,29 +175,38 @@
         spread = self.at - times[-1] >= self.terms.messages_span / most
         return len(times) < (most if spread else most / 2)
 
+    def free(self, rules: bool) -> float:
+        """Lines that may still be ordered now."""
+        taken = self.waiting if rules else self.flying
+        part = ROOM_RULES if rules else ROOM_DELTAS
+        return self.terms.waiting_most * part - taken - sum(self.lines.values())
+
+    def heads(self, proxies: Iterable[int]) -> int:
+        """Lines that these proxies' messages cost beside their orders: heads and marks of new messages."""
+        return sum(p not in self.lines for p in proxies) * (self.terms.head_lines + 1)
+
     def put(self, orders: list[it.Order], cost: dict[int, int], rules: bool) -> bool:
         """Take the orders if they fit; cost is lines by proxy, to which heads and marks are added."""
-        fresh = [p for p in cost if p not in self.proxies]
-        lines = sum(cost.values()) + len(fresh) * (self.terms.head_lines + 1)
-        free = self.terms.waiting_most * (ROOM_RULES if rules else ROOM_DELTAS) - self.waiting - self.lines
-        if cost and (lines > free or not all(self._may_write(p, rules) for p in fresh)):
+        fresh = [p for p in cost if p not in self.lines]
+        over = sum(cost.values()) + self.heads(fresh) > self.free(rules)
+        if cost and (over or not all(self._may_write(p, rules) for p in fresh)):
             return False
         self.orders += orders
-        self.proxies += fresh
-        self.lines += lines
+        for p, lines in cost.items():
+            self.lines[p] = self.lines.get(p, self.terms.head_lines + 1) + lines
         return True
 
     def close(self) -> tuple[list[it.Order], int]:
         """What goes out now, and the number of its mark (-1 where no proxy is written)."""
         orders, mark = self.orders, -1
-        if self.proxies:
+        if self.lines:
             self.number = mark = (self.number + 1) % 65536
             orders.append(it.Mark(mark, False))
-            self.before[mark] = self.total
-            self.before.pop((mark - 256) % 65536, None)
-            self.waiting, self.total = self.waiting + self.lines, self.total + self.lines
-            self.written.update({p: [*self._recent(p), self.at] for p in self.proxies})
-        self.orders, self.proxies, self.lines = [], [], 0
+            total = sum(self.lines.values())
+            self.flight[mark], self.lines, taken = self.lines, {}, self.lines
+            self.waiting, self.flying = self.waiting + total, self.flying + total
+            self.written.update({p: [*self._recent(p), self.at] for p in taken})
+        self.orders = []
         return orders, mark
 
 
@@ -319,7 +339,7 @@
         self.proxies.pop(left.proxy, None)
 
     def _answered(self, a: it.Answered) -> None:
-        self.gate.answered(a.mark)
+        self.gate.answered(a.mark, a.proxy)
         for table in self.tables:
             if table.mark == a.mark and a.proxy in table.asked:
                 table.asked.remove(a.proxy)
@@ -504,7 +524,7 @@
             if self.now - table.at > ANSWER_WAIT:
                 table.pace = PACE.get((table.pace, "late"), table.pace)
             self._send_delta(z, table, touched)
-        wrote, (orders, mark) = self.gate.proxies, self.gate.close()
+        wrote, (orders, mark) = self.gate.lines, self.gate.close()
         self.out += orders
         for z in touched:
             table = self.tables[z]
@@ -513,17 +533,18 @@
             table.pace = PACE[table.pace, "sent"]
 
     def _send_cordon(self, i: int, be: Be) -> None:
+        """Shuts a server out with a line a proxy; its weights go with later deltas, or are set as it returns."""
         gone, cost = be.state == GONE, dict.fromkeys(self.proxies, 1)
         orders: list[it.Order] = [it.Cordon(i, gone)]
-        holders = [z for z, t in enumerate(self.tables) if gone and i in t.sent and len(t.sent) > 1]
+        holders = [z for z, t in enumerate(self.tables) if i in t.sent and not gone]
         for z in holders:
-            orders.append(it.SetLine(z, i, 0.0))
+            orders.insert(0, it.SetLine(z, i, self.tables[z].want.get(i, 0.0)))
             for p in self._users(z):
                 cost[p] += 1
         if self.gate.put(orders, cost, True):
             be.cordoned = gone
             for z in holders:
-                del self.tables[z].sent[i]
+                self.tables[z].hold(i)
 
     def _send_binds(self, touched: list[int]) -> None:
         for _, p in sorted((-proxy.rate, p) for p, proxy in self.proxies.items() if not proxy.bound):
@@ -531,36 +552,46 @@
             if not table.want:
                 continue
             if not self._users(proxy.zone):  # nobody reads the table: laying it costs nothing
-                self.gate.put(self._changes(proxy.zone, table, 0.0), {}, True)
-            if self.gate.put([it.Bind(p, proxy.zone, 0)], {p: 2 + len(table.sent) + len(table.levels)}, True):
+                self.gate.put(self._changes(proxy.zone, table, 0.0, 65536, []), {}, True)
+            shut = sum(self.bes[i].cordoned for i in table.sent)
+            lines = 2 + len(table.sent) + len(table.levels) + shut
+            if self.gate.put([it.Bind(p, proxy.zone, 0)], {p: lines}, True):
                 proxy.bound = True
                 touched.append(proxy.zone)
 
     def _send_delta(self, z: int, table: Table, touched: list[int]) -> None:
-        users = self._users(z)
-        part = COLD_OVER * sum(table.sent.values()) / max(1e-9, sum(table.want.values()))
-        heavy = [self.bes[i] for i, w in table.sent.items() if w > part * table.want.get(i, 0.0)]
-        shut = any(be.state == OUT or self._cold(be) for be in heavy)  # bears on a rule, or on silence
-        if not users or not table.want or (table.pace == WAITING and not shut):
+        """In pieces, largest changes first: over many proxies a whole table would not fit for a long time.
+        Too heavy lines of cold or shut out servers, and tables with none left, wait for no answers."""
+        users, was = self._users(z), {i: w for i, w in table.sent.items() if not self.bes[i].cordoned}
+        part = COLD_OVER * sum(was.values()) / max(1e-9, sum(table.want.values()))
+        heavy = [i for i, w in was.items() if w > part * table.want.get(i, 0.0)]
+        heavy = [i for i in heavy if self.bes[i].state == OUT or self._cold(self.bes[i])]
+        stays = any(i in table.want and i not in heavy for i in was)  # else lines come before others go
+        if not users or not table.want or (table.pace == WAITING and not heavy and stays):
             return
-        was, levels = table.sent, dict(table.levels)
-        orders = self._changes(z, table, MOVE)
-        if orders and self.gate.put(orders, dict.fromkeys(users, len(orders)), shut):
+        rules, sent, levels = bool(heavy) or not stays, dict(table.sent), dict(table.levels)
+        room = int(self.gate.free(rules) - self.gate.heads(users)) // len(users)
+        orders = self._changes(z, table, MOVE, max(0, room), heavy if stays else [])
+        if orders and self.gate.put(orders, dict.fromkeys(users, len(orders)), rules):
             touched.append(z)
         else:
-            table.sent, table.levels = was, levels
-
-    def _changes(self, z: int, table: Table, past: float) -> list[it.Order]:
-        """The orders that turn what was sent into what is wanted, which then counts as sent."""
-        was = table.sent
-        moved = {i: w for i, w in table.want.items() if abs(w - was.get(i, 0.0)) > past * was.get(i, 0.0)}
-        orders: list[it.Order] = [it.SetLine(z, i, w) for i, w in moved.items()]
-        orders += [it.SetLine(z, i, 0.0) for i in table.sent if i not in table.want]
-        table.sent = {i: w for i, w in (table.sent | moved).items() if i in table.want}
+            table.sent, table.levels = sent, levels
+
+    def _changes(self, z: int, table: Table, past: float, most: int, only: list[int]) -> list[it.Order]:
+        """At most so many orders that turn what was sent into what is wanted, which then count as sent."""
+        orders: list[it.Order] = []
         for k, share in self._levels().items():
             if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
                 table.levels[k] = share
                 orders.append(it.Level(z, self._let_in(k, share), 1 << k, it.Further.NEVER_RAN))
+        moves = {i: w - table.sent.get(i, 0.0) for i, w in table.want.items() if not only or i in only}
+        moves = {i: d for i, d in moves.items() if abs(d) > past * table.sent.get(i, 0.0)}
+        moves |= {i: -w for i, w in table.sent.items() if i not in table.want and (not only or i in only)}
+        bare = not any(i in table.want for i in table.sent)
+        rank = {i: (bare and d < 0, 0.0 if self.bes[i].cordoned else -abs(d)) for i, d in moves.items()}
+        for i in sorted(moves, key=rank.__getitem__)[: max(0, most - len(orders))]:
+            orders.append(it.SetLine(z, i, table.want.get(i, 0.0)))
+            table.hold(i)
         return orders
 
     def _levels(self) -> dict[int, float]:
@@ -596,17 +627,15 @@
         full = self._estimates()
         held = {i: 1.0 + sum(i in lines for lines in self.slices.values()) for i in full}
         for t, lines in self.slices.items():
-            stays = {i: w for i, w in lines.items() if i in full}
-            if not full or (stays and len(stays) == len(lines)):
+            gone = [i for i in lines if i not in full]
+            if not full or (lines and not gone):
                 continue
-            orders: list[it.Order] = [it.SetLine(t, i, 0.0) for i in lines if i not in full]
-            if not stays:
-                best = min(full, key=lambda i: (held[i] / full[i], i))
-                held[best] += 1.0
-                stays = {best: 1.0}
-                orders = [it.SetLine(t, best, 1.0)] + ([] if self.terms.single_owner else orders)
+            new = [] if len(gone) < len(lines) else [min(full, key=lambda i: (held[i] / full[i], i))]
+            orders: list[it.Order] = [it.SetLine(t, i, 1.0) for i in new]
+            orders += [it.SetLine(t, i, 0.0) for i in gone if not (new and self.terms.single_owner)]
             if self.gate.put(orders, dict.fromkeys(self.proxies, len(orders)), True):
-                self.slices[t] = stays
+                self.slices[t] = {i: w for i, w in lines.items() if i in full} | dict.fromkeys(new, 1.0)
+                held.update({i: held[i] + 1.0 for i in new})
 
 
 Effect = Callable[[Ladder, Be], None]
