Unseen proxies at the mean of own ones; capacity samples from answered tries

Cause: a few proxies carry most, so the median put the unseen zones' demand far too low and the flow spilled there; tries that were denied counted as capacity, so the servers that denied most looked largest.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -19,7 +19,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
-from statistics import median
+from statistics import fmean, median
 
 from . import interface as it
 
@@ -298,7 +298,7 @@
             return
         be.tries += t.tries
         be.errored += t.errored
-        be.rate += t.tries / INTERVAL
+        be.rate += (t.tries - t.errored) / INTERVAL
         if t.tries > t.errored and t.took > 0:
             be.add(t.took, t.tries - t.errored)
             start, least, last = self.least[t.zone][be.zone]
@@ -457,7 +457,7 @@
         missing = self.terms.proxies - len(self.proxies)
         gaps = [max(0.0, self.terms.proxies / len(self.zones) - c) for c in count]
         if self.terms.managers > 1 and missing > 0 and self.proxies and sum(gaps) > 0:
-            each = median(p.rate for p in self.proxies.values())
+            each = fmean(p.rate for p in self.proxies.values())  # few carry most: a median is far below
             others = [missing * each * gap / sum(gaps) for gap in gaps]
         return own, others
 
