--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -41,6 +41,7 @@
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
+DEMAND_SPAN = 4.0  # s of counts past which they are halved: noise of small proxies against late sight
 ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 8.0  # of the lines that may wait; until answers come
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
@@ -53,7 +54,8 @@
         self.state, self.zone, self.weight, self.started = ABSENT, 0, 1.0, 0.0
         self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times, coarse
         self.since, self.first, self.due, self.wait = 0.0, NEW_SHARE, 0.0, OUT_WAIT  # its ramp, its trial
-        self.rate, self.load = 0.0, -1.0  # own tries a second this interval; load report, smoothed
+        self.done: dict[int, tuple[float, float]] = {}  # this interval's answered tries by zone, s they cover
+        self.load = -1.0  # load report, smoothed
         self.measured: deque[float] = deque(maxlen=AVERAGED)
         self.base, self.slowness = 0.0, 1.0  # its time when little queues; the factor for trouble
         self.lost, self.held, self.planned, self.cordoned = 0, -1.0, 0.0, False  # probes, reqs, reqs/s
@@ -73,9 +75,12 @@
 
 
 class Proxy:
-    def __init__(self, zone: int, rate: float) -> None:
+    def __init__(self, zone: int, rate: float, kinds: int) -> None:
         self.zone, self.rate, self.bound = zone, rate, False
-        self.came: dict[int, float] = {}  # reqs a second by kind, as last heard
+        self.count, self.spans = [rate / kinds] * kinds, [1.0] * kinds  # reqs by kind, s that they cover
+
+    def came(self, k: int) -> float:
+        return self.count[k] / self.spans[k]
 
 
 class Table:  # what a zone's proxies were sent, what they should hold, who has yet to answer its mark
@@ -298,7 +303,8 @@
             return
         be.tries += t.tries
         be.errored += t.errored
-        be.rate += (t.tries - t.errored) / INTERVAL
+        done, span = be.done.get(t.zone, (0.0, 0.0))
+        be.done[t.zone] = (done + t.tries - t.errored, span + t.span)
         if t.tries > t.errored and t.took > 0:
             be.add(t.took, t.tries - t.errored)
             start, least, last = self.least[t.zone][be.zone]
@@ -309,8 +315,12 @@
             be.load = t.report["util"] if be.load < 0 else (be.load + t.report["util"]) / 2
 
     def _ingress(self, u: it.Ingress) -> None:
-        if u.proxy in self.proxies and u.span > 0:
-            self.proxies[u.proxy].came[u.kind] = u.reqs / u.span
+        """Counts over the time they cover, as small proxies are heard of seldom; late sums leave them as is."""
+        p = self.proxies.get(u.proxy)
+        if p is not None:
+            keep = KEEP if p.spans[u.kind] > DEMAND_SPAN else 1.0
+            p.count[u.kind] = p.count[u.kind] * keep + u.reqs
+            p.spans[u.kind] = p.spans[u.kind] * keep + u.span
 
     def _probe(self) -> None:
         """All listed servers: silence and queues show there seconds before the sums.  Harms where probes wait
@@ -331,7 +341,7 @@
             self._step(p.be, "due", f"probe answered in {p.took * 1000:.0f} ms")
 
     def _joined(self, j: it.Joined) -> None:
-        self.proxies[j.proxy] = Proxy(j.zone, j.reqs_per_s)
+        self.proxies[j.proxy] = Proxy(j.zone, j.reqs_per_s, len(self.terms.kinds))
         self.gate.written.pop(j.proxy, None)
         self.solve_at = self.now
 
@@ -385,9 +395,10 @@
     def _measure(self) -> None:
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
         for be in self.bes.values():
-            if be.load >= 0 and be.rate > 0 and not self._cold(be):
-                be.measured.append(be.rate / max(LOAD_FLOOR, be.load) / max(0.05, self.part[be.zone]))
-            be.rate = 0.0
+            rate = sum(done / span for done, span in be.done.values() if span > 0)
+            if be.load >= 0 and rate > 0 and not self._cold(be):
+                be.measured.append(rate / max(LOAD_FLOOR, be.load) / max(0.05, self.part[be.zone]))
+            be.done.clear()
             if (mean := be.mean()) > 0:
                 be.base += (mean - be.base) * (BASE_FALL if mean < be.base else BASE_RISE if be.base else 1.0)
         live = self._in(*LIVE)
@@ -452,7 +463,7 @@
         groups (design) would send most tries across zones, as zones deal the proxies: it goes by zone."""
         own, count, others = [0.0] * len(self.zones), [0] * len(self.zones), [0.0] * len(self.zones)
         for p in self.proxies.values():
-            own[p.zone] += sum(p.came.values()) if len(p.came) == len(self.terms.kinds) else p.rate
+            own[p.zone] += sum(p.came(k) for k in range(len(p.count)))
             count[p.zone] += 1
         missing = self.terms.proxies - len(self.proxies)
         gaps = [max(0.0, self.terms.proxies / len(self.zones) - c) for c in count]
@@ -483,7 +494,8 @@
                 return None
             return 0.0 if z == g else CROSS_COST
 
-        self.level = level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
+        level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
+        self.level = level if any(be.measured for be in self.bes.values()) else 0.0  # else it has no unit
         above = SLACK + SLACK_FOR_PRICE * self.terms.cross_zone_price
         steps = [[(c * level, 0.0), (c * level * above, ABOVE_COST)] for c in room]
         flow = least_cost_flow(demand, steps, [[price(z, g) for g in self.zones] for z in self.zones])
@@ -599,7 +611,7 @@
         kinds = self.terms.kinds
         if self.terms.levels == "none":
             return {}
-        came = [sum(p.came.get(k, 0.0) for p in self.proxies.values()) for k in range(len(kinds))]
+        came = [sum(p.came(k) for p in self.proxies.values()) for k in range(len(kinds))]
         deny = (1.0 - self.let_in) * sum(came)
         shares = {}
         for k in sorted(range(len(kinds)), key=lambda k: kinds[k].importance / kinds[k].response_target):
@@ -609,11 +621,16 @@
         return shares
 
     def _let_in(self, k: int, share: float) -> float:
-        """A share as the proxies take it; as a rate it is that of the busiest: small ones are left alone."""
+        """A share as the proxies take it; as a rate it is one that lets in this share of all, small ones whole."""
         if self.terms.levels == "ratio":
             return share
-        busiest = max((p.came.get(k, 0.0) for p in self.proxies.values()), default=0.0)
-        return max(0.1, share * busiest) if share < 1.0 else 1e6
+        came = sorted(p.came(k) for p in self.proxies.values())
+        left = share * sum(came)
+        for n, rate in enumerate(came):
+            if share < 1.0 and rate * (len(came) - n) >= left:
+                return max(0.1, left / (len(came) - n))
+            left -= rate
+        return 1e6
 
     def _given(self, g: it.Given) -> None:
         self.slices.pop(g.table, None)
