--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -25,7 +25,7 @@
 
 INTERVAL, BEAT, ANSWER_WAIT = 2.0, 0.25, 3.0  # s: between solutions, looks; for answers (design)
 MOVE, NEW_SHARE, TRIAL_SHARE = 0.1, 0.25, 0.1  # part that moves; of average, a start; after out
-LOAD_FLOOR, AVERAGED = 0.1, 10  # least load report that counts; intervals in an estimate (design)
+LOAD_FLOOR, AVERAGED, PART_LEAST = 0.1, 10, 0.25  # load report; intervals (design); part of tries, to count
 LINK_OVER, LINK_SPAN = 2.0, 5.0  # over the median a link goes; s its least time is taken over (design)
 CROSS_COST, ABOVE_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
 SLACK, SLACK_FOR_PRICE, LEAST_SHARE = 0.05, 0.5, 0.02  # above the mean level; per crossing price; least
@@ -56,7 +56,7 @@
         self.since, self.first, self.due, self.wait = 0.0, NEW_SHARE, 0.0, OUT_WAIT  # its ramp, its trial
         self.done: dict[int, tuple[float, float]] = {}  # this interval's answered tries by zone, s they cover
         self.load = -1.0  # load report, smoothed
-        self.measured: deque[float] = deque(maxlen=AVERAGED)
+        self.measured: deque[tuple[float, float]] = deque(maxlen=AVERAGED)  # tries a second, load
         self.base, self.slowness = 0.0, 1.0  # its time when little queues; the factor for trouble
         self.lost, self.held, self.planned, self.cordoned = 0, -1.0, 0.0, False  # probes, reqs, reqs/s
 
@@ -396,8 +396,9 @@
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
         for be in self.bes.values():
             rate = sum(done / span for done, span in be.done.values() if span > 0)
-            if be.load >= 0 and rate > 0 and not self._cold(be):
-                be.measured.append(rate / max(LOAD_FLOOR, be.load) / max(0.05, self.part[be.zone]))
+            part = self.part[be.zone]  # a small part of the tries tells little of the whole
+            if be.load >= 0 and rate > 0 and part >= PART_LEAST and not self._cold(be):
+                be.measured.append((rate / part, max(LOAD_FLOOR, be.load)))
             be.done.clear()
             if (mean := be.mean()) > 0:
                 be.base += (mean - be.base) * (BASE_FALL if mean < be.base else BASE_RISE if be.base else 1.0)
@@ -432,7 +433,11 @@
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate now."""
         live = self._in(*LIVE) or self._in(OUT)
-        heard = {i: sum(be.measured) / len(be.measured) / be.weight for i, be in live.items() if be.measured}
+        # Sums' ratio: a mean of ratios is swayed by the intervals in which little load was reported.
+        heard = {
+            i: sum(rate for rate, _ in be.measured) / sum(load for _, load in be.measured) / be.weight
+            for i, be in live.items() if be.measured
+        }
         unit = middle(heard.values()) or 1.0  # listed sizes know no speed: capacities or else base times do
         base = middle(be.base for be in live.values() if be.base > 0)
         full = {}
@@ -489,7 +494,7 @@
         usual = middle(v for z in self.zones for g in self.zones if (v := self._latency(z, g)) > 0)
 
         def price(z: int, g: int) -> float | None:
-            slow = usual > 0 and (self._latency(z, g) or usual) >= LINK_OVER * usual
+            slow = z != g and usual > 0 and (self._latency(z, g) or usual) >= LINK_OVER * usual
             if slow or not groups[g]:
                 return None
             return 0.0 if z == g else CROSS_COST
