Managers tell each other demand by zone; level and flow go by admitted demand

Where managers may talk, each tells proxies and admitted demand by zone once an interval; missing or old words fall back to the guess.

--- a/cottonladder/decisions/interface.py
+++ b/cottonladder/decisions/interface.py
@@ -60,6 +60,7 @@
     list_on_request: bool
     ask_within: float
     probing: bool
+    peers: bool
     levels: str
     slices: int
     single_owner: bool
--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -41,6 +41,7 @@
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
+TOLD_FOR = 3  # intervals that another manager's word counts
 DEMAND_SPAN = 4.0  # s of counts past which they are halved: noise of small proxies against late sight
 ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 8.0  # of the lines that may wait; until answers come
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
@@ -224,6 +225,7 @@
         self.proxies: dict[int, Proxy] = {}
         self.tables = [Table() for _ in self.zones]
         self.slices: dict[int, dict[int, float]] = {}
+        self.told: dict[int, tuple[float, list[float]]] = {}  # by other managers: when, what
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
         self.beat, self.follow_wait, self.urgent, self.listed = 0, 0.5, False, False
@@ -234,7 +236,7 @@
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
         self.now = now
         for item in [it.Wake(0), *inputs] if self.beat == 0 else inputs:
-            if type(item) in TAKE:  # nothing rests on hints and slices' loads
+            if type(item) in TAKE:  # nothing rests on slices' loads
                 TAKE[type(item)](self, item)
         if self.listed and (self.urgent or now >= self.solve_at):
             self._solve()
@@ -464,19 +466,36 @@
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
     def _demand(self) -> tuple[list[float], list[float]]:
-        """Own demand by zone, and a guess at that of other managers' proxies.  One part of the tries for all
-        groups (design) would send most tries across zones, as zones deal the proxies: it goes by zone."""
-        own, count, others = [0.0] * len(self.zones), [0] * len(self.zones), [0.0] * len(self.zones)
+        """Own demand by zone, and others': what they told, and a guess at it for proxies that are still missing.
+        One part of the tries for all groups (design) would send most across zones, as zones deal proxies."""
+        own, others, count = ([0.0] * len(self.zones) for _ in range(3))
         for p in self.proxies.values():
             own[p.zone] += sum(p.came(k) for k in range(len(p.count)))
             count[p.zone] += 1
-        missing = self.terms.proxies - len(self.proxies)
+        for at, told in self.told.values():
+            for z in self.zones if self.now - at < TOLD_FOR * INTERVAL else ():
+                count[z], others[z] = count[z] + told[2 * z], others[z] + told[2 * z + 1]
+        missing = self.terms.proxies - sum(count)
         gaps = [max(0.0, self.terms.proxies / len(self.zones) - c) for c in count]
         if self.terms.managers > 1 and missing > 0 and self.proxies and sum(gaps) > 0:
             each = fmean(p.rate for p in self.proxies.values())  # few carry most: a median is far below
-            others = [missing * each * gap / sum(gaps) for gap in gaps]
+            others = [o + missing * each * gap / sum(gaps) for o, gap in zip(others, gaps, strict=True)]
         return own, others
 
+    def _tell(self, own: list[float]) -> None:
+        """Proxies and admitted demand by zone, for managers that can't see them; a lost word is a guess again."""
+        count = [sum(p.zone == z for p in self.proxies.values()) for z in self.zones]
+        words = (f"{n} {d * self.let_in:.1f}" for n, d in zip(count, own, strict=True))
+        self.out.append(it.Tell(-1, " ".join(words)))
+
+    def _hint(self, hint: it.Hint) -> None:
+        try:
+            told = [float(word) for word in hint.text.split()]
+        except ValueError:
+            return
+        if len(told) == 2 * len(self.zones) and all(0.0 <= v < math.inf for v in told):
+            self.told[hint.sender] = (self.now, told)
+
     def _latency(self, z: int, g: int) -> float:
         start, least, last = self.least[z][g]
         return min((v for v in (least, last) if v > 0), default=0.0) if self.now - start < LINK_SPAN else 0.0
@@ -485,12 +504,14 @@
         if self.now >= self.measure_at:
             self._measure()
             self.measure_at = self.now + INTERVAL
+            if self.terms.peers:
+                self._tell(self._demand()[0])
         self.solve_at, self.urgent = self.now + INTERVAL, False
         full = self._estimates()
         groups = [[i for i in full if self.bes[i].zone == g] for g in self.zones]
         room = [sum(full[i] for i in group) for group in groups]
         own, others = self._demand()
-        demand = [a + b for a, b in zip(own, others, strict=True)]
+        demand = [a * self.let_in + b for a, b in zip(own, others, strict=True)]
         usual = middle(v for z in self.zones for g in self.zones if (v := self._latency(z, g)) > 0)
 
         def price(z: int, g: int) -> float | None:
@@ -524,7 +545,7 @@
             total = sum(flow[z][g] for z in self.zones)
             for i in groups[g]:
                 self.bes[i].planned = total * full[i] / room[g]
-            mine = sum(flow[z][g] * own[z] / demand[z] for z in self.zones if demand[z] > 0)
+            mine = sum(flow[z][g] * (1.0 - others[z] / demand[z]) for z in self.zones if demand[z] > 0)
             self.part[g] = mine / total if total > 0 else 1.0
 
     def _users(self, z: int) -> list[int]:
@@ -678,5 +699,5 @@
 TAKE: dict[type, Callable[..., None]] = {
     it.Listing: Ladder._listing, it.Wake: Ladder._wake, it.Probed: Ladder._probed, it.Joined: Ladder._joined,
     it.Left: Ladder._left, it.Tally: Ladder._tally, it.Ingress: Ladder._ingress, it.Given: Ladder._given,
-    it.Stored: Ladder._stored, it.Answered: Ladder._answered,
+    it.Stored: Ladder._stored, it.Answered: Ladder._answered, it.Hint: Ladder._hint,
 }
--- a/cottonladder/simhost/codec.py
+++ b/cottonladder/simhost/codec.py
@@ -68,6 +68,7 @@
             list_on_request=field(info, "Discovery", str, where) == "subscribe",
             ask_within=_seconds(rules, "AskWithinMs", where, 0.0),
             probing=field(limits, "Probing", bool, where, False),
+            peers=field(limits, "Peers", bool, where, False),
             levels=field(fam, "ThrottleBy", str, where, "none"),
             slices=field(fam, "KeyRanges", int, where, 0),
             single_owner=field(fam, "SingleWriter", bool, where, False),
