--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -425,8 +425,7 @@
     def _overload(self, live: list[Be]) -> float:
         """How far most servers show overload, from 1: in errors, in time, in reqs held over their rate
         (Little's law; the freshest sign), or in their load reports.  What few show is trouble."""
-        held = sum(be.held for be in live if be.held >= 0 and be.planned > 0)
-        queue = held / max(1e-9, sum(be.planned for be in live if be.held >= 0))
+        queue = middle(be.held / be.planned for be in live if be.held >= 0 and be.planned > 0)
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
         time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
         load = middle(be.load for be in live if be.load >= 0)
