--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -107,41 +107,36 @@
 ) -> list[list[float]]:
     """Successive cheapest paths from zones to groups: flow[z][g]; what finds no room is left to overflow.
     steps[g] are the group's arcs to the sink (capacity, cost); cost[z][g] is None where there is no link."""
-    zones, groups, sink = len(demand), len(steps), 1 + len(demand) + len(steps)
-    ends: list[tuple[int, int, float]] = []  # from, to, cost; an arc's reverse is its neighbour (index ^ 1)
-    room: list[float] = []
-
-    def arc(start: int, end: int, most: float, price: float) -> None:
-        ends.extend([(start, end, price), (end, start, -price)])
-        room.extend([most, 0.0])
-
-    for z in range(zones):
-        arc(0, 1 + z, demand[z], 0.0)
-    for z in range(zones):
-        for g in range(groups):
-            price = cost[z][g]
-            arc(1 + z, 1 + zones + g, 0.0 if price is None else demand[z], price or 0.0)
-    for g in range(groups):
-        for most, price in steps[g]:
-            arc(1 + zones + g, sink, most, price)
-    for _ in range(4 * len(ends)):
-        far = [0.0] + [math.inf] * sink
-        came = [-1] * (sink + 1)
-        for _ in range(sink):
-            for i, (start, end, price) in enumerate(ends):
-                if room[i] > 1e-9 and far[start] + price < far[end] - 1e-12:
-                    far[end], came[end] = far[start] + price, i
-        if came[sink] < 0:
-            break
+    first, sink = 1 + len(demand), 1 + len(demand) + len(steps)  # nodes: source 0, zones, groups, sink, steps
+    room: dict[tuple[int, int], float] = {}
+    price: dict[tuple[int, int], float] = {}
+
+    def arc(start: int, end: int, most: float, each: float) -> None:
+        room.update({(start, end): most, (end, start): 0.0})
+        price.update({(start, end): each, (end, start): -each})
+
+    for z, most in enumerate(demand):
+        arc(0, 1 + z, most, 0.0)
+        for g, each in enumerate(cost[z]):
+            arc(1 + z, first + g, 0.0 if each is None else most, each or 0.0)
+    for n, (g, most, each) in enumerate((g, *step) for g, arcs in enumerate(steps) for step in arcs):
+        arc(first + g, sink + 1 + n, most, each)
+        arc(sink + 1 + n, sink, most, 0.0)
+    for _ in range(2 * len(room)):
+        far, came = {0: 0.0}, dict[int, int]()
+        for _ in range(sink + 1):
+            for (start, end), left in room.items():
+                if left > 1e-9 and far.get(start, math.inf) + price[start, end] < far.get(end, math.inf) - 1e-12:
+                    far[end], came[end] = far[start] + price[start, end], start
         path, node = [], sink
-        while node:
-            path.append(came[node])
-            node = ends[came[node]][0]
-        push = min(room[i] for i in path)
-        for i in path:
-            room[i] -= push
-            room[i ^ 1] += push
-    return [[room[2 * (zones + z * groups + g) + 1] for g in range(groups)] for z in range(zones)]
+        while node in came:
+            path.append((came[node], node))
+            node = came[node]
+        push = min((room[ends] for ends in path), default=0.0)
+        for start, end in path:
+            room[start, end] -= push
+            room[end, start] += push
+    return [[room[first + g, 1 + z] for g in range(len(steps))] for z in range(len(demand))]
 
 
 class Gate:
@@ -181,21 +176,17 @@
         spread = self.at - times[-1] >= self.terms.messages_span / most
         return len(times) < (most if spread else most / 2)
 
-    def free(self, rules: bool) -> float:
-        """Lines that may still be ordered now."""
-        taken = self.waiting if rules else self.flying
-        part = ROOM_RULES if rules else ROOM_DELTAS
-        return self.terms.waiting_most * part - taken - sum(self.lines.values())
-
-    def heads(self, proxies: Iterable[int]) -> int:
-        """Lines that these proxies' messages cost beside their orders: heads and marks of new messages."""
-        return sum(p not in self.lines for p in proxies) * (self.terms.head_lines + 1)
+    def room(self, proxies: Iterable[int], rules: bool) -> int:
+        """Lines that may still be ordered now for each of these proxies, beside heads and marks."""
+        taken = (self.waiting if rules else self.flying) + sum(self.lines.values())
+        heads = sum(p not in self.lines for p in proxies) * (self.terms.head_lines + 1)
+        free = self.terms.waiting_most * (ROOM_RULES if rules else ROOM_DELTAS) - taken - heads
+        return int(free // max(1, sum(1 for _ in proxies)))
 
     def put(self, orders: list[it.Order], cost: dict[int, int], rules: bool) -> bool:
         """Take the orders if they fit; cost is lines by proxy, to which heads and marks are added."""
-        fresh = [p for p in cost if p not in self.lines]
-        over = sum(cost.values()) + self.heads(fresh) > self.free(rules)
-        if cost and (over or not all(self._may_write(p, rules) for p in fresh)):
+        fits = not cost or max(cost.values()) <= self.room(cost, rules)
+        if not fits or not all(p in self.lines or self._may_write(p, rules) for p in cost):
             return False
         self.orders += orders
         for p, lines in cost.items():
@@ -607,8 +598,8 @@
         if not users or not table.want or (table.pace == WAITING and not heavy and stays):
             return
         rules, sent, levels = bool(heavy) or not stays, dict(table.sent), dict(table.levels)
-        room = int(self.gate.free(rules) - self.gate.heads(users)) // len(users)
-        orders = self._changes(z, table, MOVE, max(0, room), heavy if stays else [])
+        room = max(0, self.gate.room(users, rules))
+        orders = self._changes(z, table, MOVE, room, heavy if stays else [])
         if orders and self.gate.put(orders, dict.fromkeys(users, len(orders)), rules):
             touched.append(z)
         else:
@@ -665,19 +656,16 @@
         self.slices.get(s.table, {})[s.be] = s.weight
 
     def _mend_slices(self) -> None:
-        """A slice keeps its servers; with none left it gets the one that holds least for its size."""
+        """A slice that has lost all its servers gets the one that holds fewest for its size."""
         full = self._estimates()
-        held = {i: 1.0 + sum(i in lines for lines in self.slices.values()) for i in full}
         for t, lines in self.slices.items():
-            gone = [i for i in lines if i not in full]
-            if not full or (lines and not gone):
-                continue
-            new = [] if len(gone) < len(lines) else [min(full, key=lambda i: (held[i] / full[i], i))]
-            orders: list[it.Order] = [it.SetLine(t, i, 1.0) for i in new]
-            orders += [it.SetLine(t, i, 0.0) for i in gone if not (new and self.terms.single_owner)]
-            if self.gate.put(orders, dict.fromkeys(self.proxies, len(orders)), True):
-                self.slices[t] = {i: w for i, w in lines.items() if i in full} | dict.fromkeys(new, 1.0)
-                held.update({i: held[i] + 1.0 for i in new})
+            if full and not any(i in full for i in lines):
+                held = {i: sum(i in other for other in self.slices.values()) for i in full}
+                best = min(full, key=lambda i: ((1.0 + held[i]) / full[i], i))
+                old: list[it.Order] = [it.SetLine(t, i, 0.0) for i in lines if not self.terms.single_owner]
+                cost = dict.fromkeys(self.proxies, 1 + len(old))
+                if self.gate.put([it.SetLine(t, best, 1.0), *old], cost, True):
+                    self.slices[t] = {best: 1.0}
 
 
 Effect = Callable[[Ladder, Be], None]
