Beats carry joins and sums; any written proxy paces its table

Less work an event: a tally, a join or an answer no longer passes over servers, tables or proxies; joins are bound at the next beat, busiest first over all of them. Kept marks are bounded.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -41,6 +41,7 @@
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
+MARKS_MOST = 256  # marks without an answer that are kept
 TOLD_FOR = 3  # intervals that another manager's word counts
 DEMAND_SPAN = 4.0  # s of counts past which they are halved: noise of small proxies against late sight
 ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 8.0  # of the lines that may wait; until answers come
@@ -77,7 +78,7 @@
 
 class Proxy:
     def __init__(self, zone: int, rate: float, kinds: int) -> None:
-        self.zone, self.rate, self.bound = zone, rate, False
+        self.zone, self.rate = zone, rate
         self.count, self.spans = [rate / kinds] * kinds, [1.0] * kinds  # reqs by kind, s that they cover
 
     def came(self, k: int) -> float:
@@ -89,8 +90,8 @@
         self.sent: dict[int, float] = {}
         self.want: dict[int, float] = {}
         self.levels: dict[int, float] = {}
-        self.pace, self.mark, self.at, self.answers = IDLE, -1, 0.0, 0
-        self.asked: list[int] = []
+        self.users: dict[int, None] = {}  # proxies that read it
+        self.pace, self.mark, self.at, self.answers, self.asked = IDLE, -1, 0.0, 0, 0
 
     def hold(self, i: int) -> None:  # the wanted line of this server counts as sent
         self.sent.pop(i, None)
@@ -126,8 +127,9 @@
         far, came = {0: 0.0}, dict[int, int]()
         for _ in range(sink + 1):
             for (start, end), left in room.items():
-                if left > 1e-9 and far.get(start, math.inf) + price[start, end] < far.get(end, math.inf) - 1e-12:
-                    far[end], came[end] = far[start] + price[start, end], start
+                there = far.get(start, math.inf) + price[start, end]
+                if left > 1e-9 and there < far.get(end, math.inf) - 1e-9:
+                    far[end], came[end] = there, start
         path, node = [], sink
         while node in came:
             path.append((came[node], node))
@@ -200,10 +202,12 @@
             self.number = mark = (self.number + 1) % 65536
             orders.append(it.Mark(mark, False))
             total = sum(self.lines.values())
-            self.flight[mark], self.lines, taken = self.lines, {}, self.lines
             self.waiting, self.flying = self.waiting + total, self.flying + total
-            self.written.update({p: [*self._recent(p), self.at] for p in taken})
-        self.orders = []
+            self.written.update({p: [*self._recent(p), self.at] for p in self.lines})
+            self.flight[mark] = self.lines
+            if len(self.flight) > MARKS_MOST:  # never answered: kept no longer
+                self.flying -= sum(self.flight.pop(next(iter(self.flight))).values())
+        self.orders, self.lines = [], {}
         return orders, mark
 
 
@@ -219,27 +223,27 @@
         self.told: dict[int, tuple[float, list[float]]] = {}  # by other managers: when, what
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
-        self.beat, self.follow_wait, self.urgent, self.listed = 0, 0.5, False, False
+        self.beat, self.follow_wait, self.urgent, self.listed, self.due = 0, 0.5, False, False, False
         self.strain, self.strained, self.level, self.let_in, self.whole = 0.0, 0.0, 0.0, 1.0, 1.0
         self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, last's
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
 
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
-        self.now = now
+        self.now, self.due = now, False  # sums, joins and most answers wait for the next beat
         for item in [it.Wake(0), *inputs] if self.beat == 0 else inputs:
             if type(item) in TAKE:  # nothing rests on slices' loads
                 TAKE[type(item)](self, item)
-        if self.listed and (self.urgent or now >= self.solve_at):
-            self._solve()
-        self.gate.open(now)
-        self._send()
+        if self.due:
+            if self.listed and (self.urgent or now >= self.solve_at):
+                self._solve()
+            self._send()
         out, self.out = self.out, []
         return out
 
     def _wake(self, wake: it.Wake) -> None:
         if wake.token != self.beat:
             return
-        self.beat += 1
+        self.beat, self.due = self.beat + 1, True
         self.out.append(it.WakeIn(BEAT, self.beat))
         if self.terms.list_on_request and self.now >= self.follow_at:
             self.out.append(it.Follow(True))
@@ -262,13 +266,10 @@
             be = self.bes.setdefault(e.be, Be(self.tightest / 64))
             anew = be.started < e.started > self.now - self.terms.warm_after
             be.zone, be.weight, be.started = e.zone, max(e.weight, 1e-6), e.started
-            if e.mode != it.Mode.READY:
-                self._step(e.be, "leaving", e.mode.name.lower())
-            elif anew:
-                self._step(e.be, "started", f"{self.now - e.started:.1f} s ago")
-            else:
-                self._step(e.be, "seen" if self.listed else "listed", "listed")
-        self.listed = True
+            event = "leaving" if e.mode != it.Mode.READY else "started" if anew else "seen"
+            why = f"{e.mode.name.lower()}, up {self.now - e.started:.1f} s"
+            self._step(e.be, event if self.listed or event != "seen" else "listed", why)
+        self.listed = self.due = True
 
     def _step(self, index: int, event: str, why: str) -> None:
         be = self.bes[index]
@@ -308,7 +309,7 @@
             be.load = t.report["util"] if be.load < 0 else (be.load + t.report["util"]) / 2
 
     def _ingress(self, u: it.Ingress) -> None:
-        """Counts over the time they cover, as small proxies are heard of seldom; late sums leave them as is."""
+        """Counts over the time they cover: small proxies are heard of seldom; late sums leave them as is."""
         p = self.proxies.get(u.proxy)
         if p is not None:
             keep = KEEP if p.spans[u.kind] > DEMAND_SPAN else 1.0
@@ -334,21 +335,22 @@
             self._step(p.be, "due", f"probe answered in {p.took * 1000:.0f} ms")
 
     def _joined(self, j: it.Joined) -> None:
+        self._left(it.Left(j.proxy))
         self.proxies[j.proxy] = Proxy(j.zone, j.reqs_per_s, len(self.terms.kinds))
         self.gate.written.pop(j.proxy, None)
         self.solve_at = self.now
 
     def _left(self, left: it.Left) -> None:
-        self.proxies.pop(left.proxy, None)
+        if (proxy := self.proxies.pop(left.proxy, None)) is not None:
+            self.tables[proxy.zone].users.pop(left.proxy, None)
 
     def _answered(self, a: it.Answered) -> None:
         self.gate.answered(a.mark, a.proxy)
         for table in self.tables:
-            if table.mark == a.mark and a.proxy in table.asked:
-                table.asked.remove(a.proxy)
+            if table.mark == a.mark and a.proxy in table.users:
                 table.answers += 1
-                if table.answers > len(table.asked):
-                    table.pace = PACE.get((table.pace, "answered"), table.pace)
+                if table.answers > table.asked / 2 and table.pace == WAITING:
+                    table.pace, self.due = PACE[table.pace, "answered"], True
 
     def _in(self, *states: str) -> dict[int, Be]:
         return {i: be for i, be in self.bes.items() if be.state in states}
@@ -456,7 +458,7 @@
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
     def _demand(self) -> tuple[list[float], list[float]]:
-        """Own demand by zone, and others': what they told, and a guess at it for proxies that are still missing.
+        """Own demand by zone, and others': what they told, and a guess for proxies that are still missing.
         One part of the tries for all groups (design) would send most across zones, as zones deal proxies."""
         own, others, count = ([0.0] * len(self.zones) for _ in range(3))
         for p in self.proxies.values():
@@ -473,7 +475,7 @@
         return own, others
 
     def _tell(self, own: list[float]) -> None:
-        """Proxies and admitted demand by zone, for managers that can't see them; a lost word is a guess again."""
+        """Proxies and admitted demand by zone, for those who can't see them; a lost word is a guess again."""
         count = [sum(p.zone == z for p in self.proxies.values()) for z in self.zones]
         words = (f"{n} {d * self.let_in:.1f}" for n, d in zip(count, own, strict=True))
         self.out.append(it.Tell(-1, " ".join(words)))
@@ -538,71 +540,62 @@
             mine = sum(flow[z][g] * (1.0 - others[z] / demand[z]) for z in self.zones if demand[z] > 0)
             self.part[g] = mine / total if total > 0 else 1.0
 
-    def _users(self, z: int) -> list[int]:
-        return [p for p, proxy in self.proxies.items() if proxy.zone == z and proxy.bound]
-
     def _send(self) -> None:
         """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; deltas last."""
-        touched: list[int] = []
+        self.gate.open(self.now)
         for i, be in self.bes.items():
             if (be.state == GONE) != be.cordoned and be.state in (GONE, *LIVE):
                 self._send_cordon(i, be)
-        self._mend_slices() if self.terms.slices else self._send_binds(touched)
+        self._mend_slices() if self.terms.slices else self._send_binds()
         for z, table in enumerate(self.tables):
             if self.now - table.at > ANSWER_WAIT:
                 table.pace = PACE.get((table.pace, "late"), table.pace)
-            self._send_delta(z, table, touched)
+            self._send_delta(z, table)
         wrote, (orders, mark) = self.gate.lines, self.gate.close()
         self.out += orders
-        for z in touched:
-            table = self.tables[z]
-            table.mark, table.at, table.answers = mark, self.now, 0
-            table.asked = [p for p in self._users(z) if p in wrote]
-            table.pace = PACE[table.pace, "sent"]
+        for table in self.tables:
+            if asked := sum(p in wrote for p in table.users):
+                table.mark, table.at, table.answers, table.asked = mark, self.now, 0, asked
+                table.pace = PACE[table.pace, "sent"]
 
     def _send_cordon(self, i: int, be: Be) -> None:
-        """Shuts a server out with a line a proxy; its weights go with later deltas, or are set as it returns."""
+        """Shuts a server out by a line a proxy; its weights go with later deltas, or are set as it returns."""
         gone, cost = be.state == GONE, dict.fromkeys(self.proxies, 1)
         orders: list[it.Order] = [it.Cordon(i, gone)]
         holders = [z for z, t in enumerate(self.tables) if i in t.sent and not gone]
         for z in holders:
             orders.insert(0, it.SetLine(z, i, self.tables[z].want.get(i, 0.0)))
-            for p in self._users(z):
+            for p in self.tables[z].users:
                 cost[p] += 1
         if self.gate.put(orders, cost, True):
             be.cordoned = gone
             for z in holders:
                 self.tables[z].hold(i)
 
-    def _send_binds(self, touched: list[int]) -> None:
-        for _, p in sorted((-proxy.rate, p) for p, proxy in self.proxies.items() if not proxy.bound):
-            proxy, table = self.proxies[p], self.tables[self.proxies[p].zone]
-            if not table.want:
-                continue
-            if not self._users(proxy.zone):  # nobody reads the table: laying it costs nothing
-                self.gate.put(self._changes(proxy.zone, table, 0.0, 65536, []), {}, True)
-            shut = sum(self.bes[i].cordoned for i in table.sent)
-            lines = 2 + len(table.sent) + len(table.levels) + shut
-            if self.gate.put([it.Bind(p, proxy.zone, 0)], {p: lines}, True):
-                proxy.bound = True
-                touched.append(proxy.zone)
-
-    def _send_delta(self, z: int, table: Table, touched: list[int]) -> None:
+    def _send_binds(self) -> None:
+        unbound = [(-x.rate, p) for p, x in self.proxies.items() if p not in self.tables[x.zone].users]
+        for _, p in sorted(unbound):
+            z, table = self.proxies[p].zone, self.tables[self.proxies[p].zone]
+            if not table.users:  # nobody reads the table: laying it costs nothing
+                self.gate.put(self._changes(z, table, 0.0, 65536, []), {}, True)
+            lines = 2 + len(table.sent) + len(table.levels) + sum(self.bes[i].cordoned for i in table.sent)
+            if table.sent and self.gate.put([it.Bind(p, z, 0)], {p: lines}, True):
+                table.users[p] = None
+
+    def _send_delta(self, z: int, table: Table) -> None:
         """In pieces, largest changes first: over many proxies a whole table would not fit for a long time.
         Too heavy lines of cold or shut out servers, and tables with none left, wait for no answers."""
-        users, was = self._users(z), {i: w for i, w in table.sent.items() if not self.bes[i].cordoned}
+        was = {i: w for i, w in table.sent.items() if not self.bes[i].cordoned}
         part = COLD_OVER * sum(was.values()) / max(1e-9, sum(table.want.values()))
         heavy = [i for i, w in was.items() if w > part * table.want.get(i, 0.0)]
         heavy = [i for i in heavy if self.bes[i].state == OUT or self._cold(self.bes[i])]
         stays = any(i in table.want and i not in heavy for i in was)  # else lines come before others go
-        if not users or not table.want or (table.pace == WAITING and not heavy and stays):
+        if not table.users or not table.want or (table.pace == WAITING and not heavy and stays):
             return
         rules, sent, levels = bool(heavy) or not stays, dict(table.sent), dict(table.levels)
-        room = max(0, self.gate.room(users, rules))
+        room = max(0, self.gate.room(table.users, rules))
         orders = self._changes(z, table, MOVE, room, heavy if stays else [])
-        if orders and self.gate.put(orders, dict.fromkeys(users, len(orders)), rules):
-            touched.append(z)
-        else:
+        if not self.gate.put(orders, dict.fromkeys(table.users, len(orders)) if orders else {}, rules):
             table.sent, table.levels = sent, levels
 
     def _changes(self, z: int, table: Table, past: float, most: int, only: list[int]) -> list[it.Order]:
@@ -637,7 +630,7 @@
         return shares
 
     def _let_in(self, k: int, share: float) -> float:
-        """A share as the proxies take it; as a rate it is one that lets in this share of all, small ones whole."""
+        """A share as proxies take it; as a rate, one that lets in this share of all, small ones whole."""
         if self.terms.levels == "ratio":
             return share
         came = sorted(p.came(k) for p in self.proxies.values())
