--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -37,7 +37,6 @@
 OUT_MOST, OUT_WAIT, OUT_WAIT_MOST = 0.34, 4.0, 16.0  # of capacity shut out; s to a trial, doubled each time
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_PART, COLD_MOST, COLD_CALM, COLD_OVER = 0.22, 0.7, 12.0, 1.2  # of the multiple; 1/errors for none; over
-COLD_FEW, COLD_MANY, COLD_YOUNG = 0.8, 0.6, 0.45  # of the fleet: many; strain's part then; younger: never
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
@@ -448,11 +447,9 @@
                 age = (self.now - be.started) / self.terms.warm_after
                 cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
         # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to cold ones at any weight:
-        # there few or young ones get no line under strain.  Harms when a deploy meets an overload.
-        many = self.terms.fall_multiple * sum(cold.values()) >= COLD_FEW * self.whole
+        # there they get no line under strain.  Harms when a deploy meets an overload.
         for i, room in cold.items():
             strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0))
-            strain *= COLD_MANY if many and room > COLD_YOUNG * full[i] else 1.0
             strain = strain if self.terms.avoids else max(self.strain, self.strained - 1.0)
             full[i] = room * min(COLD_MOST, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
