--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -556,18 +556,20 @@
                 table.pace = PACE[table.pace, "sent"]
 
     def _send_cordon(self, i: int, be: Be) -> None:
-        """Shuts a server out by a line a proxy; its weights go with later deltas, or are set as it returns."""
-        gone, cost = be.state == GONE, dict.fromkeys(self.proxies, 1)
-        orders: list[it.Order] = [it.Cordon(i, gone)]
-        holders = [z for z, t in enumerate(self.tables) if i in t.sent and not gone]
-        for z in holders:
-            orders.insert(0, it.SetLine(z, i, self.tables[z].want.get(i, 0.0)))
-            for p in self.tables[z].users:
-                cost[p] += 1
-        if self.gate.put(orders, cost, True):
+        """Shuts a server out by a line for who holds it; its weights go with later deltas, or as it returns."""
+        gone, orders, cost = be.state == GONE, list[it.Order](), dict[int, int]()
+        for p, proxy in self.proxies.items():
+            table = self.tables[proxy.zone]
+            if i in table.sent or p not in table.users:  # others get no message, so they answer no mark
+                cost[p] = 1 + (not gone and i in table.sent)
+        for z, table in enumerate(self.tables):
+            if i in table.sent and not gone:
+                orders.append(it.SetLine(z, i, table.want.get(i, 0.0)))
+        if self.gate.put([*orders, it.Cordon(i, gone)], cost, True):
             be.cordoned = gone
-            for z in holders:
-                self.tables[z].hold(i)
+            for table in self.tables if orders else ():
+                if i in table.sent:
+                    table.hold(i)
 
     def _send_binds(self) -> None:
         unbound = [(-x.rate, p) for p, x in self.proxies.items() if p not in self.tables[x.zone].users]
