--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -24,7 +24,7 @@
 from . import interface as it
 
 INTERVAL, BEAT, ANSWER_WAIT = 2.0, 0.25, 3.0  # s: between solutions, looks; for answers (design)
-MOVE, NEW_SHARE, TRIAL_SHARE = 0.1, 0.25, 0.1  # part that moves; of average, a start; after out
+MOVE, NEW_SHARE = 0.1, 0.25  # part that moves; of average, a start (design)
 LOAD_FLOOR, AVERAGED, PART_LEAST = 0.1, 10, 0.25  # load report; intervals (design); part of tries, to count
 LINK_OVER, LINK_SPAN = 2.0, 5.0  # over the median a link goes; s its least time is taken over (design)
 CROSS_COST, ABOVE_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
@@ -40,9 +40,7 @@
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
-MARKS_MOST = 256  # marks without an answer that are kept
-TOLD_FOR = 3  # intervals that another manager's word counts
-DEMAND_SPAN = 4.0  # s of counts past which they are halved: noise of small proxies against late sight
+DEMAND_SPAN, TOLD_FOR, MARKS_MOST = 4.0, 3, 256  # s of counts kept whole; intervals a word counts; unanswered
 ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 8.0  # of the lines that may wait; until answers come
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
@@ -54,7 +52,7 @@
     def __init__(self, least: float) -> None:
         self.state, self.zone, self.weight, self.started = ABSENT, 0, 1.0, 0.0
         self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times, coarse
-        self.since, self.first, self.due, self.wait = 0.0, NEW_SHARE, 0.0, OUT_WAIT  # its ramp, its trial
+        self.since, self.due, self.wait = 0.0, 0.0, OUT_WAIT  # its ramp, its time out
         self.done: dict[int, tuple[float, float]] = {}  # this interval's answered tries by zone, s they cover
         self.load = -1.0  # load report, smoothed
         self.measured: deque[tuple[float, float]] = deque(maxlen=AVERAGED)  # tries a second, load
@@ -222,7 +220,7 @@
         self.told: dict[int, tuple[float, list[float]]] = {}  # by other managers: when, what
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
-        self.beat, self.follow_wait, self.urgent, self.listed, self.due = 0, 0.5, False, False, False
+        self.beat, self.urgent, self.listed, self.due = 0, False, False, False
         self.strain, self.strained, self.level, self.let_in, self.whole = 0.0, 0.0, 0.0, 1.0, 1.0
         self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, last's
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
@@ -253,11 +251,10 @@
 
     def _listing(self, listing: it.Listing) -> None:
         if listing.news == it.News.FAILED:
-            self.follow_at = self.now + self.follow_wait * self.uniform(0.8, 1.2)
-            self.follow_wait = min(self.follow_wait * 2, max(0.5, self.terms.ask_within / 4))
+            self.follow_at = self.now + self.terms.ask_within * self.uniform(0.1, 0.2)
             return
         if listing.news != it.News.CACHED:
-            self.follow_at, self.follow_wait = math.inf, 0.5
+            self.follow_at = math.inf
         named = {e.be for e in listing.entries} if listing.news != it.News.DELTA else self.bes.keys()
         for index in [i for i in self.bes if i not in named]:
             self._step(index, "leaving", "not listed")
@@ -282,7 +279,6 @@
             effect(self, be)
 
     def _begin(self, be: Be) -> None:
-        be.first = TRIAL_SHARE if be.due > 0.0 else NEW_SHARE
         be.since, be.due, be.slowness, be.held, be.lost = self.now, 0.0, 1.0, -1.0, 0
         be.fade(0.0)
 
@@ -368,8 +364,7 @@
         for i, be in self.bes.items():
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
-            heard = n >= BAD_LEAST * (be.first / NEW_SHARE if be.state == RAMP else 1.0)
-            silent = heard and e >= SILENT_SHARE * n and others < CALM_SHARE
+            silent = n >= BAD_LEAST and e >= SILENT_SHARE * n and others < CALM_SHARE
             if be.state in LIVE and (silent or be.lost >= PROBES_LOST) and shut + be.weight <= most:
                 shut += be.weight
                 self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
@@ -383,8 +378,8 @@
         return be.started > 0 and self.now - be.started < self.terms.warm_after
 
     def _ease(self, be: Be) -> float:
-        """A ramp's share of average: a quarter if new, a tenth after being out, doubled each interval."""
-        return float(be.first * 2.0 ** min(10.0, max(0.0, self.now - be.since) // INTERVAL))
+        """A ramp's share of average: a quarter, doubled each interval (design)."""
+        return float(NEW_SHARE * 2.0 ** min(10.0, max(0.0, self.now - be.since) // INTERVAL))
 
     def _measure(self) -> None:
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
@@ -421,7 +416,7 @@
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
         time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
         load = middle(be.load for be in live if be.load >= 0)
-        return max(erred / STRAIN_ERRED, time / STRAIN_TIME, max(load, self.level * (load > 0)) / STRAIN_LOAD)
+        return max(erred / STRAIN_ERRED, time / STRAIN_TIME, max(load, self.level) / STRAIN_LOAD)
 
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate now."""
@@ -478,11 +473,8 @@
         self.out.append(it.Tell(-1, " ".join(words)))
 
     def _hint(self, hint: it.Hint) -> None:
-        try:
-            told = [float(word) for word in hint.text.split()]
-        except ValueError:
-            return
-        if len(told) == 2 * len(self.zones) and all(0.0 <= v < math.inf for v in told):
+        told = [float(word) for word in hint.text.split() if word.replace(".", "", 1).isdecimal()]
+        if len(told) == 2 * len(self.zones):
             self.told[hint.sender] = (self.now, told)
 
     def _latency(self, z: int, g: int) -> float:
@@ -503,24 +495,20 @@
         demand = [a * self.let_in + b for a, b in zip(own, others, strict=True)]
         usual = middle(v for z in self.zones for g in self.zones if (v := self._latency(z, g)) > 0)
 
-        def price(z: int, g: int) -> float | None:
-            slow = z != g and usual > 0 and (self._latency(z, g) or usual) >= LINK_OVER * usual
-            if slow or not groups[g]:
-                return None
-            return 0.0 if z == g else CROSS_COST
+        def price(z: int, g: int) -> float | None:  # own links stay: what slows them is servers, not the way
+            near = z == g or (self._latency(z, g) or usual) < LINK_OVER * usual or usual <= 0
+            return CROSS_COST * (z != g) if near and groups[g] else None
 
         level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
-        self.level = level if any(be.measured for be in self.bes.values()) else 0.0  # else it has no unit
+        self.level = level * any(be.measured for be in self.bes.values())  # listed sizes have no unit
         above = SLACK + SLACK_FOR_PRICE * self.terms.cross_zone_price
         steps = [[(c * level, 0.0), (c * level * above, ABOVE_COST)] for c in room]
         flow = least_cost_flow(demand, steps, [[price(z, g) for g in self.zones] for z in self.zones])
         warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
         for z, table in enumerate(self.tables):
-            ranked = [  # overflow: own group, else the nearest with servers (design), warm ones first
-                (not any(i in warm for i in groups[g]), g != z, self._latency(z, g), g)
-                for g in self.zones if groups[g]
-            ]
-            home = min(ranked)[3] if ranked else 0
+            # overflow: own group, else the nearest with servers (design), warm ones first
+            able = [g for g in self.zones if any(i in warm for i in groups[g])] or list(self.zones)
+            home = min(able, key=lambda g: (g != z, not groups[g], self._latency(z, g)))
             flow[z][home] += max(0.0, demand[z] - sum(flow[z]))
             total = sum(flow[z])
             shares = [f / total if total > 0 else float(g == home) for g, f in enumerate(flow[z])]
@@ -556,7 +544,7 @@
                 table.pace = PACE[table.pace, "sent"]
 
     def _send_cordon(self, i: int, be: Be) -> None:
-        """Shuts a server out by a line for who holds it; its weights go with later deltas, or as it returns."""
+        """Shuts a server out by a line for who holds it; its weights go with later deltas, or at its return."""
         gone, orders, cost = be.state == GONE, list[it.Order](), dict[int, int]()
         for p, proxy in self.proxies.items():
             table = self.tables[proxy.zone]
