--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -26,15 +26,15 @@
 INTERVAL, BEAT, ANSWER_WAIT = 2.0, 0.25, 3.0  # s: between solutions, looks; for answers (design)
 MOVE, NEW_SHARE = 0.1, 0.25  # part that moves; of average, a start (design)
 LOAD_FLOOR, AVERAGED, PART_LEAST = 0.1, 10, 0.25  # load report; intervals (design); part of tries, to count
-LINK_OVER, LINK_SPAN = 2.0, 5.0  # over the median a link goes; s its least time is taken over (design)
-CROSS_COST, ABOVE_COST = 1.0, 0.4  # of a link to another zone (design); of filling above the mean level
-SLACK, SLACK_FOR_PRICE, LEAST_SHARE = 0.05, 0.5, 0.02  # above the mean level; per crossing price; least
+LINK_OVER, LINK_SPAN = 2.0, 3  # over the median a link goes; intervals its least time is of (design: 5 s)
+CROSS_COST, LEAST_SHARE = 1.0, 0.02  # of a link to another zone (design); least share that is laid
+SLACK, SLACK_FOR_PRICE = 0.05, 0.5  # filled above the mean level; per crossing price
 SLOW_OVER, ERRED_POWER = 2.0, 3.0  # time over base, against the fleet's, left alone; of the answered part
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
 BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # steps of a base time; how far speeds may differ
 KEEP, BIN_STEP, BINS = 0.5, 1.5, 16  # of what was counted, each interval; ratio of time bins; how many
 SILENT_SHARE, CALM_SHARE, BAD_LEAST = 0.85, 0.2, 4.0  # errored part, the others' at most; least tries
-OUT_MOST, OUT_WAIT, OUT_WAIT_MOST = 0.34, 4.0, 16.0  # of capacity shut out; s to a trial, doubled each time
+OUT_MOST, OUT_WAIT = 0.34, 5.0  # of capacity shut out; s to a trial
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_PART, COLD_MOST, COLD_CALM, COLD_OVER = 0.22, 0.7, 12.0, 1.2  # of the multiple; 1/errors for none; over
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
@@ -52,7 +52,7 @@
     def __init__(self, least: float) -> None:
         self.state, self.zone, self.weight, self.started = ABSENT, 0, 1.0, 0.0
         self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times, coarse
-        self.since, self.due, self.wait = 0.0, 0.0, OUT_WAIT  # its ramp, its time out
+        self.since = self.due = 0.0  # its ramp, its time out
         self.done: dict[int, tuple[float, float]] = {}  # this interval's answered tries by zone, s they cover
         self.load = -1.0  # load report, smoothed
         self.measured: deque[tuple[float, float]] = deque(maxlen=AVERAGED)  # tries a second, load
@@ -100,12 +100,10 @@
     return median(seen) if seen else 0.0
 
 
-def least_cost_flow(
-    demand: list[float], steps: list[list[tuple[float, float]]], cost: list[list[float | None]]
-) -> list[list[float]]:
+def least_cost_flow(demand: list[float], caps: list[float], cost: list[list[float | None]]) -> list[list[float]]:
     """Successive cheapest paths from zones to groups: flow[z][g]; what finds no room is left to overflow.
-    steps[g] are the group's arcs to the sink (capacity, cost); cost[z][g] is None where there is no link."""
-    first, sink = 1 + len(demand), 1 + len(demand) + len(steps)  # nodes: source 0, zones, groups, sink, steps
+    cost[z][g] is None where there is no link."""
+    first, sink = 1 + len(demand), 1 + len(demand) + len(caps)  # nodes: source 0, zones, groups, sink
     room: dict[tuple[int, int], float] = {}
     price: dict[tuple[int, int], float] = {}
 
@@ -117,9 +115,8 @@
         arc(0, 1 + z, most, 0.0)
         for g, each in enumerate(cost[z]):
             arc(1 + z, first + g, 0.0 if each is None else most, each or 0.0)
-    for n, (g, most, each) in enumerate((g, *step) for g, arcs in enumerate(steps) for step in arcs):
-        arc(first + g, sink + 1 + n, most, each)
-        arc(sink + 1 + n, sink, most, 0.0)
+    for g, most in enumerate(caps):
+        arc(first + g, sink, most, 0.0)
     for _ in range(2 * len(room)):
         far, came = {0: 0.0}, dict[int, int]()
         for _ in range(sink + 1):
@@ -135,14 +132,13 @@
         for start, end in path:
             room[start, end] -= push
             room[end, start] += push
-    return [[room[first + g, 1 + z] for g in range(len(steps))] for z in range(len(demand))]
+    return [[room[first + g, 1 + z] for g in range(len(caps))] for z in range(len(demand))]
 
 
 class Gate:
     """The one way out for orders to proxies: keeps the queue rule for every path by a ledger of lines.
-    Deltas go by answers alone: what was written and not answered must leave room (a channel may be a dozen
-    times slower).  Rule-bearing orders can't wait for answers that come late: for them lines also drain with
-    time, SLOWEST_CHANNEL times slower than usual.  Harms: late answers hold deltas back."""
+    Deltas go by answers alone (a channel may be a dozen times slower).  Rule-bearing orders can't wait for
+    late answers: for them lines also drain with time, slowly.  Harms: late answers hold deltas back."""
 
     def __init__(self, terms: it.Terms) -> None:
         self.terms, self.number = terms, 0
@@ -170,10 +166,8 @@
     def _may_write(self, proxy: int, rules: bool) -> bool:
         """Deltas leave a third of the messages; past half, rule-bearing ones are spread over the span."""
         most, times = self.terms.messages_most, self._recent(proxy)
-        if most <= 0 or not times or not rules:
-            return most <= 0 or len(times) < most - math.ceil(most / 3)
-        spread = self.at - times[-1] >= self.terms.messages_span / most
-        return len(times) < (most if spread else most / 2)
+        spread = most > 0 and self.at - max(times, default=-math.inf) >= self.terms.messages_span / most
+        return most <= 0 or len(times) < (most if rules and spread else most / 2 if rules else most * 2 // 3)
 
     def room(self, proxies: Iterable[int], rules: bool) -> int:
         """Lines that may still be ordered now for each of these proxies, beside heads and marks."""
@@ -222,7 +216,7 @@
         self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
         self.beat, self.urgent, self.listed, self.due = 0, False, False, False
         self.strain, self.strained, self.level, self.let_in, self.whole = 0.0, 0.0, 0.0, 1.0, 1.0
-        self.least = [[(0.0, 0.0, 0.0)] * terms.zones for _ in self.zones]  # slot's start, its least, last's
+        self.least = [[[math.inf] * LINK_SPAN for _ in self.zones] for _ in self.zones]  # s, by interval
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
 
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
@@ -283,8 +277,7 @@
         be.fade(0.0)
 
     def _shut(self, be: Be) -> None:
-        be.due = self.now + be.wait * self.uniform(0.9, 1.1)
-        be.wait, be.planned = min(be.wait * 2, OUT_WAIT_MOST), 0.0
+        be.due, be.planned = self.now + OUT_WAIT * self.uniform(0.9, 1.1), 0.0
 
     def _tally(self, t: it.Tally) -> None:
         be = self.bes.get(t.be)
@@ -296,10 +289,8 @@
         be.done[t.zone] = (done + t.tries - t.errored, span + t.span)
         if t.tries > t.errored and t.took > 0:
             be.add(t.took, t.tries - t.errored)
-            start, least, last = self.least[t.zone][be.zone]
-            if self.now - start >= LINK_SPAN / 2:
-                start, least, last = self.now, t.took, least
-            self.least[t.zone][be.zone] = (start, min(least, t.took), last)
+            least = self.least[t.zone][be.zone]
+            least[0] = min(least[0], t.took)
         if "util" in t.report:
             be.load = t.report["util"] if be.load < 0 else (be.load + t.report["util"]) / 2
 
@@ -351,9 +342,8 @@
         return {i: be for i, be in self.bes.items() if be.state in states}
 
     def _judge(self) -> None:
-        """Symptoms to lifecycle steps, each beat.  Shut out are servers that hardly answer at all.  Errors
-        beside answers are overload, a slow machine or one that fails a part: there the estimate falls, as
-        shutting out would push the rest over.  Harms where unlucky sums look silent; the cap bounds that."""
+        """Symptoms to lifecycle steps, each beat.  Who hardly answers is shut out; of others that err the
+        estimate falls.  Harms where unlucky sums look silent; the cap on what may be out bounds that."""
         live = self._in(*LIVE)
         tries, errored = sum(be.tries for be in live.values()), sum(be.errored for be in live.values())
         self.strain = errored / tries if tries > 0 else 0.0
@@ -369,7 +359,6 @@
                 shut += be.weight
                 self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
             elif be.state == RAMP and self._ease(be) >= 4.0:
-                be.wait = OUT_WAIT
                 self._step(i, "grown", "ramp over")
             elif be.state == OUT and self.now >= be.due and not self.terms.probing:
                 self._step(i, "due", "waited")
@@ -408,6 +397,7 @@
             self.out.append(it.Remark(f"levels {before:.2f}>{self.let_in:.2f}: overload {strained:.2f}"))
         for be in self.bes.values():
             be.fade(KEEP)
+        self.least = [[[math.inf, *least[:-1]] for least in row] for row in self.least]
 
     def _overload(self, live: list[Be]) -> float:
         """How far most servers show overload, from 1: in errors, in time, in reqs held over their rate
@@ -477,10 +467,6 @@
         if len(told) == 2 * len(self.zones):
             self.told[hint.sender] = (self.now, told)
 
-    def _latency(self, z: int, g: int) -> float:
-        start, least, last = self.least[z][g]
-        return min((v for v in (least, last) if v > 0), default=0.0) if self.now - start < LINK_SPAN else 0.0
-
     def _solve(self) -> None:
         if self.now >= self.measure_at:
             self._measure()
@@ -493,22 +479,22 @@
         room = [sum(full[i] for i in group) for group in groups]
         own, others = self._demand()
         demand = [a * self.let_in + b for a, b in zip(own, others, strict=True)]
-        usual = middle(v for z in self.zones for g in self.zones if (v := self._latency(z, g)) > 0)
+        least = [[min(times) for times in row] for row in self.least]
+        usual = middle(v for row in least for v in row if v < math.inf)
 
         def price(z: int, g: int) -> float | None:  # own links stay: what slows them is servers, not the way
-            near = z == g or (self._latency(z, g) or usual) < LINK_OVER * usual or usual <= 0
+            near = z == g or least[z][g] < LINK_OVER * usual or least[z][g] == math.inf
             return CROSS_COST * (z != g) if near and groups[g] else None
 
         level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
         self.level = level * any(be.measured for be in self.bes.values())  # listed sizes have no unit
-        above = SLACK + SLACK_FOR_PRICE * self.terms.cross_zone_price
-        steps = [[(c * level, 0.0), (c * level * above, ABOVE_COST)] for c in room]
-        flow = least_cost_flow(demand, steps, [[price(z, g) for g in self.zones] for z in self.zones])
+        above = level * (1.0 + SLACK + SLACK_FOR_PRICE * self.terms.cross_zone_price)
+        flow = least_cost_flow(demand, [c * above for c in room], [[price(z, g) for g in self.zones] for z in self.zones])
         warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
         for z, table in enumerate(self.tables):
             # overflow: own group, else the nearest with servers (design), warm ones first
             able = [g for g in self.zones if any(i in warm for i in groups[g])] or list(self.zones)
-            home = min(able, key=lambda g: (g != z, not groups[g], self._latency(z, g)))
+            home = min(able, key=lambda g: (g != z, not groups[g], least[z][g]))
             flow[z][home] += max(0.0, demand[z] - sum(flow[z]))
             total = sum(flow[z])
             shares = [f / total if total > 0 else float(g == home) for g, f in enumerate(flow[z])]
@@ -544,7 +530,7 @@
                 table.pace = PACE[table.pace, "sent"]
 
     def _send_cordon(self, i: int, be: Be) -> None:
-        """Shuts a server out by a line for who holds it; its weights go with later deltas, or at its return."""
+        """Shuts a server out by a line for who holds it; weights go with later deltas, or at its return."""
         gone, orders, cost = be.state == GONE, list[it.Order](), dict[int, int]()
         for p, proxy in self.proxies.items():
             table = self.tables[proxy.zone]
@@ -628,13 +614,6 @@
             left -= rate
         return 1e6
 
-    def _given(self, g: it.Given) -> None:
-        self.slices.pop(g.table, None)
-        self.slices.update({g.table: {}} if g.on else {})
-
-    def _stored(self, s: it.Stored) -> None:
-        self.slices.get(s.table, {})[s.be] = s.weight
-
     def _mend_slices(self) -> None:
         """A slice that has lost all its servers gets the one that holds fewest for its size."""
         full = self._estimates()
@@ -665,6 +644,8 @@
 }
 TAKE: dict[type, Callable[..., None]] = {
     it.Listing: Ladder._listing, it.Wake: Ladder._wake, it.Probed: Ladder._probed, it.Joined: Ladder._joined,
-    it.Left: Ladder._left, it.Tally: Ladder._tally, it.Ingress: Ladder._ingress, it.Given: Ladder._given,
-    it.Stored: Ladder._stored, it.Answered: Ladder._answered, it.Hint: Ladder._hint,
+    it.Left: Ladder._left, it.Tally: Ladder._tally, it.Ingress: Ladder._ingress, it.Hint: Ladder._hint,
+    it.Given: lambda self, g: self.slices.update({g.table: {}}) if g.on else self.slices.pop(g.table, None),
+    it.Stored: lambda self, s: self.slices.get(s.table, {}).update({s.be: s.weight}),
+    it.Answered: Ladder._answered,
 }
