--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -1,15 +1,13 @@
 """The decisions of one manager: the module that is ported by hand.
 
-A front makes a `Ladder` from the `Terms` of a start, calls `decide(now, inputs)` for each batch and carries
-out the orders in their order; the types stand in `interface.py` beside this file.  Each interval a min-cost
-flow from proxy zones to server groups (a zone's servers) is solved; its shares become one table a zone.
-
-Beside the design (docs/design.md says what is kept and changed) stand:
-1. the order gate: one ledger of lines and messages; rule-bearing orders first, with room held back;
-2. the server lifecycle: silent servers are shut out and come back by a small share, cold ones are eased in;
+A front makes a `Ladder` from a start's `Terms`, calls `decide(now, inputs)` for each batch and carries out
+the orders in turn; types stand in `interface.py` beside this file.  Each interval a min-cost flow from proxy
+zones to server groups (a zone's servers) is solved; its shares become one table a zone.  Beside the design:
+1. the order gate: a ledger of lines by answers; rule-bearing orders first, deltas in pieces that fit;
+2. the server lifecycle: silent servers are shut out and come back in small, cold ones are eased in;
 3. slowness: a server's estimate falls with its response time and errors against the fleet's;
 4. even filling: groups are filled to a little over the fleet's mean level, not to their estimates;
-5. unseen proxies: other managers' proxies count as demand of the zones where they are missing;
+5. unseen proxies: other managers' demand, as they tell it where they may talk, else as a guess;
 6. levels: while most servers show overload, the reqs worth least for their time are denied first.
 """
 
@@ -24,17 +22,15 @@
 from . import interface as it
 
 INTERVAL, BEAT, ANSWER_WAIT = 2.0, 0.25, 3.0  # s: between solutions, looks; for answers (design)
-MOVE, NEW_SHARE = 0.1, 0.25  # part that moves; of average, a start (design)
 LOAD_FLOOR, AVERAGED, PART_LEAST = 0.1, 10, 0.25  # load report; intervals (design); part of tries, to count
 LINK_OVER, LINK_SPAN = 2.0, 3  # over the median a link goes; intervals its least time is of (design: 5 s)
-CROSS_COST, LEAST_SHARE = 1.0, 0.02  # of a link to another zone (design); least share that is laid
-SLACK, SLACK_FOR_PRICE = 0.05, 0.5  # filled above the mean level; per crossing price
+CROSS_COST, LEAST_SHARE, SLACK, SLACK_FOR_PRICE = 1.0, 0.02, 0.05, 0.5  # least laid; over the mean; per price
 SLOW_OVER, ERRED_POWER = 2.0, 3.0  # time over base, against the fleet's, left alone; of the answered part
 SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
 BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # steps of a base time; how far speeds may differ
 KEEP, BIN_STEP, BINS = 0.5, 1.5, 16  # of what was counted, each interval; ratio of time bins; how many
 SILENT_SHARE, CALM_SHARE, BAD_LEAST = 0.85, 0.2, 4.0  # errored part, the others' at most; least tries
-OUT_MOST, OUT_WAIT = 0.34, 5.0  # of capacity shut out; s to a trial
+MOVE, NEW_SHARE, OUT_MOST, OUT_WAIT = 0.1, 0.25, 0.34, 5.0  # part that moves; a start's; shut out at most, s
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_PART, COLD_MOST, COLD_CALM, COLD_OVER = 0.22, 0.7, 12.0, 1.2  # of the multiple; 1/errors for none; over
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
@@ -54,9 +50,8 @@
         self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times, coarse
         self.since = self.due = 0.0  # its ramp, its time out
         self.done: dict[int, tuple[float, float]] = {}  # this interval's answered tries by zone, s they cover
-        self.load = -1.0  # load report, smoothed
         self.measured: deque[tuple[float, float]] = deque(maxlen=AVERAGED)  # tries a second, load
-        self.base, self.slowness = 0.0, 1.0  # its time when little queues; the factor for trouble
+        self.base, self.slowness, self.load = 0.0, 1.0, -1.0  # calm time; factor for trouble; load report
         self.lost, self.held, self.planned, self.cordoned = 0, -1.0, 0.0, False  # probes, reqs, reqs/s
 
     def add(self, took: float, tries: float) -> None:
@@ -84,9 +79,7 @@
 
 class Table:  # what a zone's proxies were sent, what they should hold, who has yet to answer its mark
     def __init__(self) -> None:
-        self.sent: dict[int, float] = {}
-        self.want: dict[int, float] = {}
-        self.levels: dict[int, float] = {}
+        self.sent, self.want, self.levels = (dict[int, float]() for _ in range(3))
         self.users: dict[int, None] = {}  # proxies that read it
         self.pace, self.mark, self.at, self.answers, self.asked = IDLE, -1, 0.0, 0, 0
 
@@ -96,13 +89,14 @@
 
 
 def middle(values: Iterable[float]) -> float:
-    seen = list(values)
-    return median(seen) if seen else 0.0
+    return median([*values] or [0.0])
+
+
+Matrix = list[list[float]]
 
 
-def least_cost_flow(demand: list[float], caps: list[float], cost: list[list[float | None]]) -> list[list[float]]:
-    """Successive cheapest paths from zones to groups: flow[z][g]; what finds no room is left to overflow.
-    cost[z][g] is None where there is no link."""
+def least_cost_flow(demand: list[float], caps: list[float], cost: list[list[float | None]]) -> Matrix:
+    """Successive cheapest paths, flow[z][g]; what finds no room is left to overflow.  No link costs None."""
     first, sink = 1 + len(demand), 1 + len(demand) + len(caps)  # nodes: source 0, zones, groups, sink
     room: dict[tuple[int, int], float] = {}
     price: dict[tuple[int, int], float] = {}
@@ -244,12 +238,11 @@
         self._judge()
 
     def _listing(self, listing: it.Listing) -> None:
-        if listing.news == it.News.FAILED:
-            self.follow_at = self.now + self.terms.ask_within * self.uniform(0.1, 0.2)
-            return
-        if listing.news != it.News.CACHED:
-            self.follow_at = math.inf
-        named = {e.be for e in listing.entries} if listing.news != it.News.DELTA else self.bes.keys()
+        if listing.news != it.News.CACHED:  # a call that failed is made again
+            again = self.now + self.terms.ask_within * self.uniform(0.1, 0.2)
+            self.follow_at = again if listing.news == it.News.FAILED else math.inf
+        whole = listing.news in (it.News.FULL, it.News.CACHED)
+        named = {e.be for e in listing.entries} if whole else self.bes.keys()
         for index in [i for i in self.bes if i not in named]:
             self._step(index, "leaving", "not listed")
         for e in listing.entries:
@@ -303,8 +296,7 @@
             p.spans[u.kind] = p.spans[u.kind] * keep + u.span
 
     def _probe(self) -> None:
-        """All listed servers: silence and queues show there seconds before the sums.  Harms where probes wait
-        in the queue, as overload then looks silent; the cap on what may be out bounds it."""
+        """Silence and queues show seconds before sums; harms where probes queue, as jams then look silent."""
         listed = self._in(OUT, *LIVE)
         price = len(listed) * self.terms.probe_price / max(1.0, sum(self._demand()[0]))
         self.probe_at = self.now + max(PROBE_EVERY, price / PROBE_POINTS) * self.uniform(0.9, 1.1)
@@ -366,8 +358,7 @@
     def _cold(self, be: Be) -> bool:
         return be.started > 0 and self.now - be.started < self.terms.warm_after
 
-    def _ease(self, be: Be) -> float:
-        """A ramp's share of average: a quarter, doubled each interval (design)."""
+    def _ease(self, be: Be) -> float:  # a ramp's share of average: a quarter, doubled each interval (design)
         return float(NEW_SHARE * 2.0 ** min(10.0, max(0.0, self.now - be.since) // INTERVAL))
 
     def _measure(self) -> None:
@@ -400,8 +391,7 @@
         self.least = [[[math.inf, *least[:-1]] for least in row] for row in self.least]
 
     def _overload(self, live: list[Be]) -> float:
-        """How far most servers show overload, from 1: in errors, in time, in reqs held over their rate
-        (Little's law; the freshest sign), or in their load reports.  What few show is trouble."""
+        """How far most servers show overload, from 1: errors, time, reqs held over rate (Little), load."""
         queue = middle(be.held / be.planned for be in live if be.held >= 0 and be.planned > 0)
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
         time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
@@ -431,8 +421,7 @@
             if self._cold(be):
                 age = (self.now - be.started) / self.terms.warm_after
                 cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
-        # Keeps the rule on cold servers.  Proxies that avoid failing servers turn to cold ones at any weight:
-        # there they get no line under strain.  Harms when a deploy meets an overload.
+        # Proxies that avoid failing servers turn to cold ones at any weight: there no line under strain.
         for i, room in cold.items():
             strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0))
             strain = strain if self.terms.avoids else max(self.strain, self.strained - 1.0)
@@ -489,7 +478,8 @@
         level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
         self.level = level * any(be.measured for be in self.bes.values())  # listed sizes have no unit
         above = level * (1.0 + SLACK + SLACK_FOR_PRICE * self.terms.cross_zone_price)
-        flow = least_cost_flow(demand, [c * above for c in room], [[price(z, g) for g in self.zones] for z in self.zones])
+        cost = [[price(z, g) for g in self.zones] for z in self.zones]
+        flow = least_cost_flow(demand, [c * above for c in room], cost)
         warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
         for z, table in enumerate(self.tables):
             # overflow: own group, else the nearest with servers (design), warm ones first
@@ -531,19 +521,17 @@
 
     def _send_cordon(self, i: int, be: Be) -> None:
         """Shuts a server out by a line for who holds it; weights go with later deltas, or at its return."""
-        gone, orders, cost = be.state == GONE, list[it.Order](), dict[int, int]()
+        gone, cost = be.state == GONE, dict[int, int]()
         for p, proxy in self.proxies.items():
             table = self.tables[proxy.zone]
             if i in table.sent or p not in table.users:  # others get no message, so they answer no mark
                 cost[p] = 1 + (not gone and i in table.sent)
-        for z, table in enumerate(self.tables):
-            if i in table.sent and not gone:
-                orders.append(it.SetLine(z, i, table.want.get(i, 0.0)))
-        if self.gate.put([*orders, it.Cordon(i, gone)], cost, True):
+        holders = [z for z, table in enumerate(self.tables) if i in table.sent and not gone]
+        lines = [it.SetLine(z, i, self.tables[z].want.get(i, 0.0)) for z in holders]
+        if self.gate.put([*lines, it.Cordon(i, gone)], cost, True):
             be.cordoned = gone
-            for table in self.tables if orders else ():
-                if i in table.sent:
-                    table.hold(i)
+            for z in holders:
+                self.tables[z].hold(i)
 
     def _send_binds(self) -> None:
         unbound = [(-x.rate, p) for p, x in self.proxies.items() if p not in self.tables[x.zone].users]
@@ -556,12 +544,12 @@
                 table.users[p] = None
 
     def _send_delta(self, z: int, table: Table) -> None:
-        """In pieces, largest changes first: over many proxies a whole table would not fit for a long time.
-        Too heavy lines of cold or shut out servers, and tables with none left, wait for no answers."""
+        """In pieces, largest changes first, as a whole table would not fit for long over many proxies.  Too
+        heavy lines of cold or shut out servers, and tables with none left, wait for no answers."""
         was = {i: w for i, w in table.sent.items() if not self.bes[i].cordoned}
         part = COLD_OVER * sum(was.values()) / max(1e-9, sum(table.want.values()))
-        heavy = [i for i, w in was.items() if w > part * table.want.get(i, 0.0)]
-        heavy = [i for i in heavy if self.bes[i].state == OUT or self._cold(self.bes[i])]
+        guarded = [i for i in was if self.bes[i].state == OUT or self._cold(self.bes[i])]
+        heavy = [i for i in guarded if was[i] > part * table.want.get(i, 0.0)]
         stays = any(i in table.want and i not in heavy for i in was)  # else lines come before others go
         if not table.users or not table.want or (table.pace == WAITING and not heavy and stays):
             return
@@ -574,13 +562,12 @@
     def _changes(self, z: int, table: Table, past: float, most: int, only: list[int]) -> list[it.Order]:
         """At most so many orders that turn what was sent into what is wanted, which then count as sent."""
         orders: list[it.Order] = []
-        for k, share in self._levels().items():
+        for k, share in self._levels().items() if self.terms.levels != "none" else ():
             if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
                 table.levels[k] = share
                 orders.append(it.Level(z, self._let_in(k, share), 1 << k, it.Further.NEVER_RAN))
-        moves = {i: w - table.sent.get(i, 0.0) for i, w in table.want.items() if not only or i in only}
+        moves = {i: table.want.get(i, 0.0) - table.sent.get(i, 0.0) for i in only or table.want | table.sent}
         moves = {i: d for i, d in moves.items() if abs(d) > past * table.sent.get(i, 0.0)}
-        moves |= {i: -w for i, w in table.sent.items() if i not in table.want and (not only or i in only)}
         bare = not any(i in table.want for i in table.sent)
         rank = {i: (bare and d < 0, 0.0 if self.bes[i].cordoned else -abs(d)) for i, d in moves.items()}
         for i in sorted(moves, key=rank.__getitem__)[: max(0, most - len(orders))]:
@@ -591,8 +578,6 @@
     def _levels(self) -> dict[int, float]:
         """What is let in of each kind: the kinds worth least for their response target are denied first."""
         kinds = self.terms.kinds
-        if self.terms.levels == "none":
-            return {}
         came = [sum(p.came(k) for p in self.proxies.values()) for k in range(len(kinds))]
         deny = (1.0 - self.let_in) * sum(came)
         shares = {}
@@ -615,15 +600,12 @@
         return 1e6
 
     def _mend_slices(self) -> None:
-        """A slice that has lost all its servers gets the one that holds fewest for its size."""
+        """A slice that has lost all its servers gets the one that holds fewest, the largest of them."""
         full = self._estimates()
         for t, lines in self.slices.items():
             if full and not any(i in full for i in lines):
-                held = {i: sum(i in other for other in self.slices.values()) for i in full}
-                best = min(full, key=lambda i: ((1.0 + held[i]) / full[i], i))
-                old: list[it.Order] = [it.SetLine(t, i, 0.0) for i in lines if not self.terms.single_owner]
-                cost = dict.fromkeys(self.proxies, 1 + len(old))
-                if self.gate.put([it.SetLine(t, best, 1.0), *old], cost, True):
+                best = min(full, key=lambda i: (sum(i in held for held in self.slices.values()), -full[i]))
+                if self.gate.put([it.SetLine(t, best, 1.0)], dict.fromkeys(self.proxies, 1), True):
                     self.slices[t] = {best: 1.0}
 
 
