--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -383,7 +383,8 @@
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
         before, strained = self.let_in, self.strained
         down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) if strained > 1.0 else 0.0
-        self.let_in = min(1.0, max(LEVEL_FLOOR, before + (LEVEL_UP if strained < LEVEL_CALM else -down)))
+        floor = LEVEL_FLOOR if self.terms.levels != "none" else 1.0  # else demand would count as denied
+        self.let_in = min(1.0, max(floor, before + (LEVEL_UP if strained < LEVEL_CALM else -down)))
         if (before < 1.0) != (self.let_in < 1.0):
             self.out.append(it.Remark(f"levels {before:.2f}>{self.let_in:.2f}: overload {strained:.2f}"))
         for be in self.bes.values():
@@ -399,9 +400,8 @@
         return max(erred / STRAIN_ERRED, time / STRAIN_TIME, max(load, self.level) / STRAIN_LOAD)
 
     def _estimates(self) -> dict[int, float]:
-        """Each usable server's estimate now."""
+        """Each usable server's estimate; from sums, as little reported load would sway a mean of ratios."""
         live = self._in(*LIVE) or self._in(OUT)
-        # Sums' ratio: a mean of ratios is swayed by the intervals in which little load was reported.
         heard = {
             i: sum(rate for rate, _ in be.measured) / sum(load for _, load in be.measured) / be.weight
             for i, be in live.items() if be.measured
