Probes lost to most of a group tell of the way there, not of its servers

Told from silent servers: most of a zone's servers lose probes at once while tries there are answered.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -343,16 +343,19 @@
         self.urgent |= was < 1.0 <= self.strained
         shut = sum(be.weight for be in self._in(OUT).values())
         most = OUT_MOST * (shut + sum(be.weight for be in live.values()))
+        listed = self._in(OUT, *LIVE).values()  # most of a group lost: the way, not servers
+        far = [middle(be.lost for be in listed if be.zone == g) >= 1 for g in self.zones]
         for i, be in self.bes.items():
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
             silent = n >= BAD_LEAST and e >= SILENT_SHARE * n and others < CALM_SHARE
-            if be.state in LIVE and (silent or be.lost >= PROBES_LOST) and shut + be.weight <= most:
+            lost = be.lost >= PROBES_LOST and not far[be.zone]
+            if be.state in LIVE and (silent or lost) and shut + be.weight <= most:
                 shut += be.weight
                 self._step(i, "bad", f"errored {e:.0f} of {n:.0f}, others {others:.2f}, lost {be.lost}")
             elif be.state == RAMP and self._ease(be) >= 4.0:
                 self._step(i, "grown", "ramp over")
-            elif be.state == OUT and self.now >= be.due and not self.terms.probing:
+            elif be.state == OUT and self.now >= be.due and (far[be.zone] or not self.terms.probing):
                 self._step(i, "due", "waited")
 
     def _cold(self, be: Be) -> bool:
