--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -32,7 +32,8 @@
 SILENT_SHARE, CALM_SHARE, BAD_LEAST = 0.85, 0.2, 4.0  # errored part, the others' at most; least tries
 MOVE, NEW_SHARE, OUT_MOST, OUT_WAIT = 0.1, 0.25, 0.34, 5.0  # part that moves; a start's; shut out at most, s
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
-COLD_PART, COLD_MOST, COLD_CALM, COLD_OVER = 0.22, 0.7, 12.0, 1.2  # of the multiple; 1/errors for none; over
+COLD_PART, COLD_MOST, COLD_OVER = 0.22, 0.7, 1.2  # of the multiple; of what it surely does; over its part
+COLD_CALM, COLD_YOUNG = 12.0, 0.45  # 1/errors for no line; least part of its capacity for one: if avoiding
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
@@ -42,9 +43,7 @@
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
 
 
-class Be:
-    """What one manager holds of a server."""
-
+class Be:  # what one manager holds of a server
     def __init__(self, least: float) -> None:
         self.state, self.zone, self.weight, self.started = ABSENT, 0, 1.0, 0.0
         self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times, coarse
@@ -342,9 +341,10 @@
         was, self.strained = self.strained, self._overload(list(live.values()))
         self.urgent |= was < 1.0 <= self.strained
         shut = sum(be.weight for be in self._in(OUT).values())
-        most = OUT_MOST * (shut + sum(be.weight for be in live.values()))
-        listed = self._in(OUT, *LIVE).values()  # most of a group lost: the way, not servers
-        far = [middle(be.lost for be in listed if be.zone == g) >= 1 for g in self.zones]
+        # Probes lost to most of a group: the way is bad, not servers.  Harms if all go silent; tries tell.
+        probed = self._in(OUT, *LIVE).values()
+        most = OUT_MOST * sum(be.weight for be in probed)
+        far = [middle(be.lost for be in probed if be.zone == g) >= 1 for g in self.zones]
         for i, be in self.bes.items():
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
@@ -384,10 +384,9 @@
             aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** (ERRED_POWER / jam)
             step = SLOW_FALL if aim < be.slowness else SLOW_RISE
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
-        before, strained = self.let_in, self.strained
+        before, strained = self.let_in, self.strained * (self.terms.levels != "none")  # else none is denied
         down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) if strained > 1.0 else 0.0
-        floor = LEVEL_FLOOR if self.terms.levels != "none" else 1.0  # else demand would count as denied
-        self.let_in = min(1.0, max(floor, before + (LEVEL_UP if strained < LEVEL_CALM else -down)))
+        self.let_in = min(1.0, max(LEVEL_FLOOR, before + (LEVEL_UP if strained < LEVEL_CALM else -down)))
         if (before < 1.0) != (self.let_in < 1.0):
             self.out.append(it.Remark(f"levels {before:.2f}>{self.let_in:.2f}: overload {strained:.2f}"))
         for be in self.bes.values():
@@ -405,10 +404,8 @@
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate; from sums, as little reported load would sway a mean of ratios."""
         live = self._in(*LIVE) or self._in(OUT)
-        heard = {
-            i: sum(rate for rate, _ in be.measured) / sum(load for _, load in be.measured) / be.weight
-            for i, be in live.items() if be.measured
-        }
+        sums = {i: [sum(column) for column in zip(*be.measured)] for i, be in live.items() if be.measured}
+        heard = {i: rate / load / live[i].weight for i, (rate, load) in sums.items()}
         unit = middle(heard.values()) or 1.0  # listed sizes know no speed: capacities or else base times do
         base = middle(be.base for be in live.values() if be.base > 0)
         full = {}
@@ -424,9 +421,10 @@
             if self._cold(be):
                 age = (self.now - be.started) / self.terms.warm_after
                 cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
-        # Proxies that avoid failing servers turn to cold ones at any weight: there no line under strain.
+        # Avoiding proxies turn to cold servers at any weight, before sums tell; harms deploys in overload.
         for i, room in cold.items():
-            strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0))
+            young = room < COLD_YOUNG * full[i]
+            strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0 or young))
             strain = strain if self.terms.avoids else max(self.strain, self.strained - 1.0)
             full[i] = room * min(COLD_MOST, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
@@ -491,8 +489,8 @@
             flow[z][home] += max(0.0, demand[z] - sum(flow[z]))
             total = sum(flow[z])
             shares = [f / total if total > 0 else float(g == home) for g, f in enumerate(flow[z])]
-            kept = [g for g in self.zones if shares[g] >= LEAST_SHARE and groups[g]]
-            want = {i: shares[g] * full[i] / room[g] for g in kept for i in groups[g]}
+            kept = [i for g in self.zones if shares[g] >= LEAST_SHARE for i in groups[g]]
+            want = {i: shares[self.bes[i].zone] * full[i] / room[self.bes[i].zone] for i in kept}
             if warm and not any(i in warm for i in want):
                 want = {i: c / sum(warm.values()) for i, c in warm.items()}
             most = COLD_OVER / max(1.0, self.strained) * sum(demand) / max(self.whole * total, 1e-9)
@@ -618,14 +616,12 @@
     **{(state, "leaving"): (GONE, None) for state in (ABSENT, OUT, *LIVE)},
     **{(state, "bad"): (OUT, Ladder._shut) for state in LIVE},
     (ABSENT, "listed"): (WELL, None),
-    (ABSENT, "seen"): (RAMP, Ladder._begin),
-    (GONE, "seen"): (RAMP, Ladder._begin),
+    **{(state, "seen"): (RAMP, Ladder._begin) for state in (ABSENT, GONE)},
     (RAMP, "grown"): (WELL, None),
     (OUT, "due"): (RAMP, Ladder._begin),
 }
 PACE = {
-    (IDLE, "sent"): WAITING, (WAITING, "sent"): WAITING,
-    (WAITING, "answered"): IDLE, (WAITING, "late"): IDLE,
+    (IDLE, "sent"): WAITING, (WAITING, "sent"): WAITING, (WAITING, "answered"): IDLE, (WAITING, "late"): IDLE,
 }
 TAKE: dict[type, Callable[..., None]] = {
     it.Listing: Ladder._listing, it.Wake: Ladder._wake, it.Probed: Ladder._probed, it.Joined: Ladder._joined,
