Errors without slow answers are no overload

Cause: clients that give up early, ways that lose and servers that take few connections err at calm servers; levels then denied reqs beside idle servers. Errors count up to twice what times or load show.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -34,7 +34,7 @@
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_PART, COLD_MOST, COLD_OVER = 0.22, 0.7, 1.2  # of the multiple; of what it surely does; over its part
 COLD_CALM, COLD_YOUNG = 12.0, 0.45  # 1/errors for no line; least part of its capacity for one: if avoiding
-STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
+STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD, CALM_TWICE = 0.1, 0.5, 0.92, 2.0  # errors, time, load of an overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
 DEMAND_SPAN, TOLD_FOR, MARKS_MOST = 4.0, 3, 256  # s of counts kept whole; intervals a word counts; unanswered
@@ -368,9 +368,8 @@
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
         for be in self.bes.values():
             rate = sum(done / span for done, span in be.done.values() if span > 0)
-            part = self.part[be.zone]  # a small part of the tries tells little of the whole
-            if be.load >= 0 and rate > 0 and part >= PART_LEAST and not self._cold(be):
-                be.measured.append((rate / part, max(LOAD_FLOOR, be.load)))
+            if be.load >= 0 and rate > 0 and self.part[be.zone] >= PART_LEAST and not self._cold(be):
+                be.measured.append((rate / self.part[be.zone], max(LOAD_FLOOR, be.load)))
             be.done.clear()
             if (mean := be.mean()) > 0:
                 be.base += (mean - be.base) * (BASE_FALL if mean < be.base else BASE_RISE if be.base else 1.0)
@@ -399,12 +398,13 @@
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
         time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
         load = middle(be.load for be in live if be.load >= 0)
-        return max(erred / STRAIN_ERRED, time / STRAIN_TIME, max(load, self.level) / STRAIN_LOAD)
+        calm = max(time / STRAIN_TIME, max(load, self.level) / STRAIN_LOAD)
+        return max(calm, min(erred / STRAIN_ERRED, CALM_TWICE * calm))  # errors alone: clients or the way
 
     def _estimates(self) -> dict[int, float]:
         """Each usable server's estimate; from sums, as little reported load would sway a mean of ratios."""
         live = self._in(*LIVE) or self._in(OUT)
-        sums = {i: [sum(column) for column in zip(*be.measured)] for i, be in live.items() if be.measured}
+        sums = {i: [sum(c) for c in zip(*be.measured, strict=True)] for i, be in live.items() if be.measured}
         heard = {i: rate / load / live[i].weight for i, (rate, load) in sums.items()}
         unit = middle(heard.values()) or 1.0  # listed sizes know no speed: capacities or else base times do
         base = middle(be.base for be in live.values() if be.base > 0)
