--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -368,8 +368,7 @@
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
         for be in self.bes.values():
             rate = sum(done / span for done, span in be.done.values() if span > 0)
-            sound = be.errored <= CALM_SHARE * be.tries and self.part[be.zone] >= PART_LEAST
-            if be.load >= 0 and rate > 0 and sound and not self._cold(be):
+            if be.load >= 0 and rate > 0 and self.part[be.zone] >= PART_LEAST and not self._cold(be):
                 be.measured.append((rate / self.part[be.zone], max(LOAD_FLOOR, be.load)))
             be.done.clear()
             if (mean := be.mean()) > 0:
