--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,7 +5,7 @@
     terms NAME=VALUE ..            replaces values of the usual terms (below); comes first
     T list NEWS ITEM ..            NEWS is full, delta, cached or failed; an ITEM is bN@ZONE with, if wanted,
                                    *WEIGHT, /draining or /gone, and ^STARTED (a time)
-    T join pN@ZONE RATE [kept]     a proxy joins; kept: it holds tables of another manager
+    T join pN[-pM]@ZONE RATE [kept]  a proxy, or as many, join; kept: with tables of another manager
     T left pN | T answer           its stream breaks | every mark sent so far is answered by all who got it
     T tally bN@ZONE TRIES/ERRED MS [NAME=VALUE ..]    sums of one second, with a load report
     T ingress pN KIND REQS         sums of one second
@@ -16,7 +16,8 @@
     expect table Z has|lacks bN .. | expect table Z bN < SHARE | expect table Z bN > SHARE
     expect cordoned bN .. | expect open bN .. | expect bound pN .. (in that order) | expect unbound pN ..
     expect level Z KIND < SHARE | expect level Z KIND > SHARE
-    expect waiting < LINES | expect messages pN < COUNT | expect order NAME | expect no order NAME
+    expect waiting < LINES | expect flying < LINES (by answers alone) | expect messages pN < COUNT
+    expect order NAME | expect no order NAME
     expect further NAME            the only way of trying further that was ordered
     expect log WORDS
 """
@@ -71,7 +72,8 @@
                 self.users[order.proxy] = order.table
                 reached.add(order.proxy)
             elif isinstance(order, it.Cordon):
-                reached |= set(self.users) | set(joined)
+                holds = {p for p, table in self.users.items() if order.be in self.tables[table]}
+                reached |= holds | (set(joined) - set(self.users))
             elif isinstance(order, it.WakeIn):
                 self.token, self.wake_at = order.token, self.now + order.after
             elif isinstance(order, it.Mark):
@@ -115,8 +117,10 @@
         if verb == "list":
             self.feed(it.Listing(it.News[args[0].upper()], tuple(_entry(a) for a in args[1:])))
         elif verb == "join":
-            proxy, zone = args[0][1:].split("@")
-            self.feed(it.Joined(int(proxy), int(zone), float(args[1]), "kept" not in args))
+            span, zone = args[0][1:].split("@")
+            first, _, last = span.partition("-p")
+            for p in range(int(first), int(last or first) + 1):
+                self.feed(it.Joined(p, int(zone), float(args[1]), "kept" not in args))
         elif verb == "left":
             self.users.pop(int(args[0][1:]), None)
             self.feed(it.Left(int(args[0][1:])))
@@ -162,6 +166,8 @@
             return _compare(self.levels.get((int(args[0]), int(args[1])), 1.0), args[2], args[3])
         if what == "waiting":
             return _compare(self.ladder.gate.waiting, args[0], args[1]) and self.ladder.gate.waiting >= 0
+        if what == "flying":
+            return _compare(self.ladder.gate.flying, args[0], args[1]) and self.ladder.gate.flying >= 0
         if what == "messages":
             times = self.written[ids[0]]
             worst = max((sum(t - 10.0 < u <= t for u in times) for t in times), default=0)
