--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -33,7 +33,7 @@
 MOVE, NEW_SHARE, OUT_MOST, OUT_WAIT = 0.1, 0.25, 0.34, 5.0  # part that moves; a start's; shut out at most, s
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_PART, COLD_MOST, COLD_OVER = 0.22, 0.7, 1.2  # of the multiple; of what it surely does; over its part
-COLD_CALM, COLD_YOUNG = 12.0, 0.45  # 1/errors for no line; least part of its capacity for one: if avoiding
+COLD_CALM, COLD_YOUNG, BLIND_BEATS = 12.0, 0.45, 16  # if avoiding: 1/errors, part of capacity; no sums yet
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD, CALM_TWICE = 0.1, 0.5, 0.92, 2.0  # errors, time, load of an overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
@@ -67,10 +67,9 @@
         self.bins = [n * keep for n in self.bins]
 
 
-class Proxy:
+class Proxy:  # with counts of reqs by kind, and the s that they cover
     def __init__(self, zone: int, rate: float, kinds: int) -> None:
-        self.zone, self.rate = zone, rate
-        self.count, self.spans = [rate / kinds] * kinds, [1.0] * kinds  # reqs by kind, s that they cover
+        self.zone, self.rate, self.count, self.spans = zone, rate, [rate / kinds] * kinds, [1.0] * kinds
 
     def came(self, k: int) -> float:
         return self.count[k] / self.spans[k]
@@ -163,15 +162,14 @@
         return most <= 0 or len(times) < (most if rules and spread else most / 2 if rules else most * 2 // 3)
 
     def room(self, proxies: Iterable[int], rules: bool) -> int:
-        """Lines that may still be ordered now for each of these proxies, beside heads and marks."""
+        """Lines that may still be ordered now for these proxies, beside heads and marks."""
         taken = (self.waiting if rules else self.flying) + sum(self.lines.values())
         heads = sum(p not in self.lines for p in proxies) * (self.terms.head_lines + 1)
-        free = self.terms.waiting_most * (ROOM_RULES if rules else ROOM_DELTAS) - taken - heads
-        return int(free // max(1, sum(1 for _ in proxies)))
+        return int(self.terms.waiting_most * (ROOM_RULES if rules else ROOM_DELTAS) - taken - heads)
 
     def put(self, orders: list[it.Order], cost: dict[int, int], rules: bool) -> bool:
         """Take the orders if they fit; cost is lines by proxy, to which heads and marks are added."""
-        fits = not cost or max(cost.values()) <= self.room(cost, rules)
+        fits = not cost or sum(cost.values()) <= self.room(cost, rules)
         if not fits or not all(p in self.lines or self._may_write(p, rules) for p in cost):
             return False
         self.orders += orders
@@ -383,13 +381,12 @@
             aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** (ERRED_POWER / jam)
             step = SLOW_FALL if aim < be.slowness else SLOW_RISE
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
+            be.fade(KEEP)
         before, strained = self.let_in, self.strained * (self.terms.levels != "none")  # else none is denied
-        down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) if strained > 1.0 else 0.0
+        down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) * (strained > 1.0)
         self.let_in = min(1.0, max(LEVEL_FLOOR, before + (LEVEL_UP if strained < LEVEL_CALM else -down)))
         if (before < 1.0) != (self.let_in < 1.0):
             self.out.append(it.Remark(f"levels {before:.2f}>{self.let_in:.2f}: overload {strained:.2f}"))
-        for be in self.bes.values():
-            be.fade(KEEP)
         self.least = [[[math.inf, *least[:-1]] for least in row] for row in self.least]
 
     def _overload(self, live: list[Be]) -> float:
@@ -423,7 +420,7 @@
                 cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
         # Avoiding proxies turn to cold servers at any weight, before sums tell; harms deploys in overload.
         for i, room in cold.items():
-            young = room < COLD_YOUNG * full[i]
+            young = room < COLD_YOUNG * full[i] or self.beat < BLIND_BEATS
             strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0 or young))
             strain = strain if self.terms.avoids else max(self.strain, self.strained - 1.0)
             full[i] = room * min(COLD_MOST, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
@@ -483,7 +480,6 @@
         flow = least_cost_flow(demand, [c * above for c in room], cost)
         warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
         for z, table in enumerate(self.tables):
-            # overflow: own group, else the nearest with servers (design), warm ones first
             able = [g for g in self.zones if any(i in warm for i in groups[g])] or list(self.zones)
             home = min(able, key=lambda g: (g != z, not groups[g], least[z][g]))
             flow[z][home] += max(0.0, demand[z] - sum(flow[z]))
@@ -505,9 +501,7 @@
     def _send(self) -> None:
         """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; deltas last."""
         self.gate.open(self.now)
-        for i, be in self.bes.items():
-            if (be.state == GONE) != be.cordoned and be.state in (GONE, *LIVE):
-                self._send_cordon(i, be)
+        self._send_cordons([i for i, b in self._in(GONE, *LIVE).items() if (b.state == GONE) != b.cordoned])
         self._mend_slices() if self.terms.slices else self._send_binds()
         for z, table in enumerate(self.tables):
             if self.now - table.at > ANSWER_WAIT:
@@ -520,19 +514,25 @@
                 table.mark, table.at, table.answers, table.asked = mark, self.now, 0, asked
                 table.pace = PACE[table.pace, "sent"]
 
-    def _send_cordon(self, i: int, be: Be) -> None:
-        """Shuts a server out by a line for who holds it; weights go with later deltas, or at its return."""
-        gone, cost = be.state == GONE, dict[int, int]()
-        for p, proxy in self.proxies.items():
-            table = self.tables[proxy.zone]
-            if i in table.sent or p not in table.users:  # others get no message, so they answer no mark
-                cost[p] = 1 + (not gone and i in table.sent)
-        holders = [z for z, table in enumerate(self.tables) if i in table.sent and not gone]
-        lines = [it.SetLine(z, i, self.tables[z].want.get(i, 0.0)) for z in holders]
-        if self.gate.put([*lines, it.Cordon(i, gone)], cost, True):
-            be.cordoned = gone
-            for z in holders:
-                self.tables[z].hold(i)
+    def _send_cordons(self, changed: list[int]) -> None:
+        """Shuts servers out by a line for who holds them, in one message (heads cost most), or in halves."""
+        orders, cost = list[it.Order](), dict[int, int]()
+        for i in changed:
+            back = self.bes[i].state != GONE
+            for p, proxy in self.proxies.items():
+                table = self.tables[proxy.zone]
+                if i in table.sent or p not in table.users:  # others get no message, so they answer no mark
+                    cost[p] = cost.get(p, 0) + 1 + (back and i in table.sent)
+            holders = [(z, t.want) for z, t in enumerate(self.tables) if back and i in t.sent]
+            orders += [it.SetLine(z, i, want.get(i, 0.0)) for z, want in holders]
+            orders.append(it.Cordon(i, not back))
+        if self.gate.put(orders, cost, True):
+            for i, table in ((i, table) for i in changed for table in self.tables):
+                self.bes[i].cordoned = self.bes[i].state == GONE
+                if i in table.sent and not self.bes[i].cordoned:
+                    table.hold(i)
+        elif len(changed) > 1 and self.gate.waiting < self.terms.waiting_most / 4:
+            self._send_cordons(changed[: len(changed) // 2])
 
     def _send_binds(self) -> None:
         unbound = [(-x.rate, p) for p, x in self.proxies.items() if p not in self.tables[x.zone].users]
@@ -555,7 +555,7 @@
         if not table.users or not table.want or (table.pace == WAITING and not heavy and stays):
             return
         rules, sent, levels = bool(heavy) or not stays, dict(table.sent), dict(table.levels)
-        room = max(0, self.gate.room(table.users, rules))
+        room = max(0, self.gate.room(table.users, rules) // len(table.users))
         orders = self._changes(z, table, MOVE, room, heavy if stays else [])
         if not self.gate.put(orders, dict.fromkeys(table.users, len(orders)) if orders else {}, rules):
             table.sent, table.levels = sent, levels
