--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -34,9 +34,10 @@
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_PART, COLD_MOST, COLD_OVER = 0.22, 0.7, 1.2  # of the multiple; of what it surely does; over its part
 COLD_CALM, COLD_YOUNG, BLIND_BEATS = 12.0, 0.45, 16  # if avoiding: 1/errors, part of capacity; no sums yet
-STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD, CALM_TWICE = 0.1, 0.5, 0.92, 2.0  # errors, time, load of an overload
+STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
+CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
 DEMAND_SPAN, TOLD_FOR, MARKS_MOST = 4.0, 3, 256  # s of counts kept whole; intervals a word counts; unanswered
 ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 8.0  # of the lines that may wait; until answers come
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
@@ -45,16 +46,15 @@
 
 class Be:  # what one manager holds of a server
     def __init__(self, least: float) -> None:
-        self.state, self.zone, self.weight, self.started = ABSENT, 0, 1.0, 0.0
+        self.state, self.zone, self.weight, self.started, self.since, self.due = ABSENT, 0, 1.0, 0.0, 0.0, 0.0
         self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times, coarse
-        self.since = self.due = 0.0  # its ramp, its time out
         self.done: dict[int, tuple[float, float]] = {}  # this interval's answered tries by zone, s they cover
         self.measured: deque[tuple[float, float]] = deque(maxlen=AVERAGED)  # tries a second, load
         self.base, self.slowness, self.load = 0.0, 1.0, -1.0  # calm time; factor for trouble; load report
         self.lost, self.held, self.planned, self.cordoned = 0, -1.0, 0.0, False  # probes, reqs, reqs/s
 
     def add(self, took: float, tries: float) -> None:
-        place = int(math.log(max(took, self.least) / self.least) / math.log(BIN_STEP))
+        place = int(math.log(max(took / self.least, 1.0), BIN_STEP))
         self.bins[min(place, BINS - 1)] += tries
 
     def mean(self) -> float:  # geometric; 0 where too little was heard
@@ -281,8 +281,8 @@
             be.add(t.took, t.tries - t.errored)
             least = self.least[t.zone][be.zone]
             least[0] = min(least[0], t.took)
-        if "util" in t.report:
-            be.load = t.report["util"] if be.load < 0 else (be.load + t.report["util"]) / 2
+        load = t.report.get("util", be.load)
+        be.load = load if be.load < 0 else (be.load + load) / 2
 
     def _ingress(self, u: it.Ingress) -> None:
         """Counts over the time they cover: small proxies are heard of seldom; late sums leave them as is."""
@@ -395,7 +395,7 @@
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
         time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
         load = middle(be.load for be in live if be.load >= 0)
-        calm = max(time / STRAIN_TIME, max(load, self.level) / STRAIN_LOAD)
+        calm = max(time / STRAIN_TIME, max(load, min(self.level, LOAD_OVER * load)) / STRAIN_LOAD)
         return max(calm, min(erred / STRAIN_ERRED, CALM_TWICE * calm))  # errors alone: clients or the way
 
     def _estimates(self) -> dict[int, float]:
@@ -470,7 +470,7 @@
         usual = middle(v for row in least for v in row if v < math.inf)
 
         def price(z: int, g: int) -> float | None:  # own links stay: what slows them is servers, not the way
-            near = z == g or least[z][g] < LINK_OVER * usual or least[z][g] == math.inf
+            near = z == g or not LINK_OVER * usual <= least[z][g] < math.inf
             return CROSS_COST * (z != g) if near and groups[g] else None
 
         level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
