--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -156,10 +156,10 @@
         return [t for t in self.written.get(proxy, []) if self.at - t <= self.terms.messages_span]
 
     def _may_write(self, proxy: int, rules: bool) -> bool:
-        """Deltas leave a third of the messages; past half, rule-bearing ones are spread over the span."""
+        """Deltas leave a third of the messages; of it, rule-bearing ones are spread over the span."""
         most, times = self.terms.messages_most, self._recent(proxy)
         spread = most > 0 and self.at - max(times, default=-math.inf) >= self.terms.messages_span / most
-        return most <= 0 or len(times) < (most if rules and spread else most / 2 if rules else most * 2 // 3)
+        return most <= 0 or len(times) < (most if rules and spread else most * 2 // 3)
 
     def room(self, proxies: Iterable[int], rules: bool) -> int:
         """Lines that may still be ordered now for these proxies, beside heads and marks."""
