--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -39,7 +39,7 @@
 LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
 CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
 DEMAND_SPAN, TOLD_FOR, MARKS_MOST = 4.0, 3, 256  # s of counts kept whole; intervals a word counts; unanswered
-ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 32.0  # of the lines that may wait; until answers come
+ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 16.0  # of the lines that may wait; until answers come
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
 
