--- /dev/null
+++ b/cottonladder/lifecycle/owner.py
@@ -0,0 +1,112 @@
+"""The owner of the decisions: one task, one queue in, every order handed out from here."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from ..decisions import interface as it
+from ..decisions.rules import Ladder
+from ..state.roster import Roster
+from ..state.spread import Spread
+from ..wire.discovery import Discovery
+from ..wire.peers import Peers
+from ..wire.probes import Probes
+
+
+class Clock:
+    """Unix time as it was at the start, led on by a clock that only advances: steps of the system's time
+    don't reach it, and the starts that the list tells of stand on it as they are."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        return self._offset + time.monotonic()
+
+
+class Inbox:
+    """The queue to the owner; what is put in here is never waited for."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[it.Input] = deque()
+        self._some = asyncio.Event()
+
+    def put(self, item: it.Input) -> None:
+        self._waiting.append(item)
+        self._some.set()
+
+    async def take(self) -> list[it.Input]:
+        await self._some.wait()
+        batch = list(self._waiting)
+        self._waiting.clear()
+        self._some.clear()
+        return batch
+
+
+@dataclass(frozen=True, slots=True)
+class Hands:
+    """Those who carry out what isn't said to proxies."""
+
+    discovery: Discovery
+    probes: Probes
+    peers: Peers
+
+
+class Owner:
+    """Owns the ladder and its timers."""
+
+    def __init__(self, ladder: Ladder, inbox: Inbox, roster: Roster, spread: Spread, hands: Hands) -> None:
+        self._ladder, self._inbox, self._roster, self._spread = ladder, inbox, roster, spread
+        self._hands, self._clock = hands, Clock()
+        self._set, self._timers = 0, dict[int, asyncio.TimerHandle]()
+        self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
+        self._carry: dict[type, Callable[..., None]] = {
+            it.WakeIn: self._wake_in,
+            it.Follow: lambda o: hands.discovery.follow(o.on),
+            it.FetchList: lambda o: hands.discovery.fetch(),
+            it.Probe: lambda o: hands.probes.send(o.be),
+            it.Tell: lambda o: hands.peers.tell(o.whom, o.text),
+            it.Remark: lambda o: self.log.info("mode", words=o.text),
+        }
+
+    async def run(self) -> None:
+        while True:
+            self.step(await self._inbox.take())
+
+    def step(self, batch: list[it.Input]) -> None:
+        """One batch: joins and leaves are kept before the module sees them, so that orders meet them."""
+        for item in batch:
+            if isinstance(item, it.Joined):
+                self._spread.joined(item.proxy, item.fresh)
+            elif isinstance(item, it.Left):
+                self._spread.left(item.proxy)
+        for order in self._ladder.decide(self._clock.now(), batch):
+            carry = self._carry.get(type(order))
+            if carry is not None:
+                carry(order)
+            elif why := self._spread.take(order):
+                self.log.error("order left out", order=type(order).__name__, why=why)
+        for proxy, data in self._spread.messages():
+            self._roster.send(proxy, data)
+
+    def _wake_in(self, order: it.WakeIn) -> None:
+        """Timers count up and are kept until they are due, as they can't be taken back."""
+        self._set += 1
+        self._timers[self._set] = asyncio.get_running_loop().call_later(
+            order.after, self._due, self._set, order.token
+        )
+
+    def _due(self, timer: int, token: int) -> None:
+        del self._timers[timer]
+        self._inbox.put(it.Wake(token))
+
+    def close(self) -> None:
+        for timer in self._timers.values():
+            timer.cancel()
+        self._timers.clear()
--- a/cottonladder/simhost/__main__.py
+++ b/cottonladder/simhost/__main__.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from ..decisions.rules import Ladder
-from .codec import Door, WireError, field
+from ..wire.terms import WireError, field
+from .codec import Door
 
 
 class Seat:
@@ -16,7 +17,7 @@
 
     def __init__(self, body: dict[str, Any], where: str) -> None:
         self.door = Door(body, where)
-        self.ladder = Ladder(self.door.terms)
+        self.ladder = Ladder(self.door.site.terms)
 
 
 class Host:
--- a/cottonladder/simhost/codec.py
+++ b/cottonladder/simhost/codec.py
@@ -6,33 +6,7 @@
 from typing import Any
 
 from ..decisions import interface as it
-
-
-class WireError(ValueError):
-    """A message that the wire page does not allow; its text is one plain line."""
-
-
-_NUMBER = (int, float)
-_MISSING = object()
-
-
-def field(body: Any, name: str, types: Any, where: str, default: Any = _MISSING) -> Any:
-    """One field of a message, checked for its type; bools never pass for numbers."""
-    if not isinstance(body, dict):
-        raise WireError(f"{where}: not an object")
-    value = body.get(name)
-    if value is None:
-        if default is _MISSING:
-            raise WireError(f"{where}: field {name} is missing")
-        return default
-    if not isinstance(value, types) or (isinstance(value, bool) and types is not bool):
-        raise WireError(f"{where}: field {name} has the wrong type ({type(value).__name__})")
-    return value
-
-
-def _seconds(body: Any, name: str, where: str, default: Any = _MISSING) -> float:
-    value = field(body, name, _NUMBER, where, default)
-    return float(value) / 1000.0
+from ..wire.terms import NUMBER, Site, WireError, field, read_site, seconds
 
 
 class Door:
@@ -40,60 +14,9 @@
 
     def __init__(self, body: dict[str, Any], where: str) -> None:
         info = field(body, "Info", dict, where)
-        self.zones: list[str] = list(field(info, "Zones", list, where))
-        profiles = field(info, "Profiles", list, where)
-        self.lanes: list[str] = [field(p, "Name", str, where) for p in profiles]
+        self.site: Site = read_site(info, field(body, "Prng", int, where), where)
         self.be_ids: list[int] = []
         self._be_index: dict[int, int] = {}
-        self.terms = self._terms(info, profiles, field(body, "Prng", int, where), where)
-
-    def _terms(self, info: dict[str, Any], profiles: list[Any], seed: int, where: str) -> it.Terms:
-        fam = field(info, "FamilyInfo", dict, where)
-        rules = field(info, "Rules", dict, where)
-        limits = field(info, "Limits", dict, where)
-        prices = field(info, "Prices", dict, where)
-        kinds = tuple(
-            it.ReqKind(
-                response_target=_seconds(p, "TargetMs", where),
-                importance=float(field(p, "Gain", _NUMBER, where)),
-            )
-            for p in profiles
-        )
-        return it.Terms(
-            seed=seed,
-            managers=field(info, "NInstances", int, where),
-            zones=len(self.zones),
-            kinds=kinds,
-            proxies=field(fam, "Proxies", int, where),
-            list_on_request=field(info, "Discovery", str, where) == "subscribe",
-            ask_within=_seconds(rules, "AskWithinMs", where, 0.0),
-            probing=field(limits, "Probing", bool, where, False),
-            peers=field(limits, "Peers", bool, where, False),
-            levels=field(fam, "ThrottleBy", str, where, "none"),
-            slices=field(fam, "KeyRanges", int, where, 0),
-            single_owner=field(fam, "SingleWriter", bool, where, False),
-            lines_per_s=float(field(fam, "EgressPerS", _NUMBER, where)),
-            head_lines=int(field(fam, "Head", _NUMBER, where)),
-            waiting_most=float(field(fam, "PendingMax", _NUMBER, where)),
-            messages_most=int(field(fam, "ReloadsMax", _NUMBER, where, 0)),
-            messages_span=_seconds(fam, "ReloadSpanMs", where, 0.0),
-            cold_share=float(field(rules, "ColdFrom", _NUMBER, where)),
-            fall_multiple=float(field(rules, "FallMultiple", _NUMBER, where)),
-            avoids=field(fam, "Strikes", _NUMBER, where, 0) > 0,
-            warm_after=_seconds(rules, "WarmAfterMs", where),
-            cross_zone_price=float(field(prices, "CrossZone", _NUMBER, where, 0.0)),
-            probe_price=float(field(prices, "Probe", _NUMBER, where, 0.0)),
-        )
-
-    def _zone(self, name: str, where: str) -> int:
-        if name not in self.zones:
-            raise WireError(f"{where}: unknown zone")
-        return self.zones.index(name)
-
-    def _lane(self, name: str, where: str) -> int:
-        if name not in self.lanes:
-            raise WireError(f"{where}: unknown class")
-        return self.lanes.index(name)
 
     def _be(self, body: Any, where: str) -> int:
         wire_id = field(body, "Worker", int, where)
@@ -105,7 +28,7 @@
 
     def _report(self, body: Any, where: str) -> dict[str, float]:
         pairs = field(body, "HealthInfo", dict, where, {})
-        return {k: float(v) for k, v in pairs.items() if isinstance(v, _NUMBER)}
+        return {k: float(v) for k, v in pairs.items() if isinstance(v, NUMBER)}
 
     def _entry(self, body: Any, where: str) -> it.Entry:
         mode = field(body, "Mode", int, where)
@@ -113,10 +36,10 @@
             raise WireError(f"{where}: field Mode has an unknown value")
         return it.Entry(
             be=self._be(body, where),
-            zone=self._zone(field(body, "Locality", str, where), where),
+            zone=self.site.zone(field(body, "Locality", str, where), where),
             mode=it.Mode(mode),
-            weight=float(field(body, "Size", _NUMBER, where, 1.0)),
-            started=_seconds(body, "CameUpMs", where, 0.0),
+            weight=float(field(body, "Size", NUMBER, where, 1.0)),
+            started=seconds(body, "CameUpMs", where, 0.0),
         )
 
     def _sync(self, b: Any, w: str) -> it.Input:
@@ -131,7 +54,7 @@
 
     def _probed(self, b: Any, w: str) -> it.Input:
         done = field(b, "StateCode", str, w) == "served"
-        return it.Probed(self._be(b, w), done, _seconds(b, "RttMs", w, 0.0), self._report(b, w))
+        return it.Probed(self._be(b, w), done, seconds(b, "RttMs", w, 0.0), self._report(b, w))
 
     def _hint(self, b: Any, w: str) -> it.Input:
         return it.Hint(field(b, "From", int, w), field(b, "Data", str, w, ""))
@@ -139,8 +62,8 @@
     def _joined(self, b: Any, w: str) -> it.Input:
         return it.Joined(
             field(b, "Proxy", int, w),
-            self._zone(field(b, "Locality", str, w), w),
-            float(field(b, "Size", _NUMBER, w, 0.0)),
+            self.site.zone(field(b, "Locality", str, w), w),
+            float(field(b, "Size", NUMBER, w, 0.0)),
             field(b, "Active", bool, w, False),
         )
 
@@ -150,40 +73,40 @@
     def _tally(self, b: Any, w: str) -> it.Input:
         return it.Tally(
             self._be(b, w),
-            self._zone(field(b, "Locality", str, w), w),
+            self.site.zone(field(b, "Locality", str, w), w),
             field(b, "Many", int, w),
             field(b, "Failed", int, w, 0),
-            _seconds(b, "ElapsedMs", w),
-            _seconds(b, "RttMs", w, 0.0),
+            seconds(b, "ElapsedMs", w),
+            seconds(b, "RttMs", w, 0.0),
             self._report(b, w),
         )
 
     def _ingress(self, b: Any, w: str) -> it.Input:
         return it.Ingress(
             field(b, "Proxy", int, w),
-            self._lane(field(b, "Lane", str, w), w),
+            self.site.kind(field(b, "Lane", str, w), w),
             field(b, "Many", int, w),
             field(b, "Failed", int, w, 0),
-            _seconds(b, "ElapsedMs", w),
+            seconds(b, "ElapsedMs", w),
         )
 
     def _slice_load(self, b: Any, w: str) -> it.Input:
         return it.SliceLoad(
             field(b, "SetId", int, w),
-            self._lane(field(b, "Lane", str, w), w),
+            self.site.kind(field(b, "Lane", str, w), w),
             field(b, "Many", int, w),
             field(b, "Failed", int, w, 0),
-            _seconds(b, "ElapsedMs", w),
+            seconds(b, "ElapsedMs", w),
         )
 
     def _given(self, b: Any, w: str) -> it.Input:
         return it.Given(field(b, "SetId", int, w), field(b, "Active", bool, w, False))
 
     def _stored(self, b: Any, w: str) -> it.Input:
-        return it.Stored(field(b, "SetId", int, w), self._be(b, w), float(field(b, "Size", _NUMBER, w, 1.0)))
+        return it.Stored(field(b, "SetId", int, w), self._be(b, w), float(field(b, "Size", NUMBER, w, 1.0)))
 
     def _answered(self, b: Any, w: str) -> it.Input:
-        return it.Answered(field(b, "Proxy", int, w), field(b, "Rev", int, w), _seconds(b, "RttMs", w, 0.0))
+        return it.Answered(field(b, "Proxy", int, w), field(b, "Rev", int, w), seconds(b, "RttMs", w, 0.0))
 
     def read(self, name: str, body: Any, where: str) -> it.Input:
         """One event of the wire as an input of the decisions."""
--- /dev/null
+++ b/cottonladder/state/spread.py
@@ -0,0 +1,241 @@
+"""From orders to one message for each proxy: what the simulator does between action and proxy (WIRE 11).
+
+`take` applies one order and notes the lines that it costs at each proxy; `messages` gives the bytes of all
+that was noted since, one message a proxy.  Lines stand for a table's kinds at that proxy, and equal messages
+are encoded once.  A proxy keeps what it was told to shut out across streams, so what it was told is kept here
+too: a line for a worker that it may still shut out, and that this manager does not, comes with a line that
+lets it in.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from ..decisions import interface as it
+from ..wire.messages import Part, encode_parts
+from .workers import Workers
+
+PART_MOST = 900_000  # bytes of lines in a part: a message part is 1 MiB at most, heads included
+PARTS_MOST = 64  # parts of one message, by the protocol; a longer order goes as a further message
+
+
+@dataclass(slots=True)
+class Table:
+    lines: dict[int, float] = field(default_factory=dict)
+    levels: dict[int, tuple[float, int]] = field(default_factory=dict)  # by kind: let in, further
+
+
+@dataclass(slots=True)
+class Seat:
+    """A joined proxy: the table that each kind reads, if one of ours."""
+
+    bound: list[int | None]
+
+
+@dataclass(slots=True)
+class Told:
+    """What a proxy was told of workers, over all its streams; `sure`: nobody else told it anything."""
+
+    sure: bool
+    out: dict[int, bool] = field(default_factory=dict)
+
+
+Op = tuple[str, int, int, float, int]  # what, kinds, worker or number, figure, further tries
+
+
+class Spread:
+    def __init__(self, kinds: list[str], managers: int, workers: Workers) -> None:
+        self._kinds, self._alone, self._workers = kinds, managers == 1, workers
+        self._all = (1 << len(kinds)) - 1
+        self._tables: dict[int, Table] = {}
+        self._everywhere: dict[int, tuple[float, int]] = {}  # levels for all proxies, by kind
+        self._out: dict[int, None] = {}
+        self._seats: dict[int, Seat] = {}
+        self._told: dict[int, Told] = {}
+        self._users: dict[int, dict[int, None]] = {}  # table -> proxies that read it, for any kind
+        self._drafts: dict[int, list[Op]] = {}
+
+    def joined(self, proxy: int, fresh: bool) -> None:
+        """Its tables are its own until it is bound; a message drafted for its last stream is lost."""
+        self.left(proxy)
+        self._seats[proxy] = Seat([None] * len(self._kinds))
+        known = self._told.get(proxy)
+        if known is None or not (self._alone or fresh):
+            self._told[proxy] = Told(fresh, known.out if known else {})
+
+    def left(self, proxy: int) -> None:
+        self._seats.pop(proxy, None)
+        self._drafts.pop(proxy, None)
+        for users in self._users.values():
+            users.pop(proxy, None)
+
+    def take(self, order: it.Order) -> str:
+        """Applies one order; says why where it is one that must never be sent."""
+        if isinstance(order, it.SetLine) and not (math.isfinite(order.weight) and order.weight >= 0):
+            return f"weight {order.weight}"
+        if isinstance(order, it.Level) and not (math.isfinite(order.let_in) and order.let_in >= 0):
+            return f"level {order.let_in}"
+        if isinstance(order, (it.SetLine, it.Cordon)) and not self._workers.known(order.be):
+            return f"worker {order.be} was never listed"
+        TAKE[type(order)](self, order)
+        return ""
+
+    def messages(self) -> Iterator[tuple[int, bytes]]:
+        drafts, self._drafts = self._drafts, {}
+        encoded: dict[tuple[Op, ...], bytes] = {}
+        for proxy, draft in drafts.items():
+            for k, (let_in, further) in self._everywhere.items():
+                level = self._level(self._seats[proxy].bound[k], k, let_in, further)
+                gate: Op = ("gate", 1 << k, 0, *level)
+                if gate not in draft:  # levels for all go with every message
+                    draft.append(gate)
+            key = tuple(draft)
+            if key not in encoded:
+                encoded[key] = self._encode(key)
+            yield proxy, encoded[key]
+
+    def lines(self) -> dict[int, int]:
+        """What the messages drafted cost by now, without their heads."""
+        return {proxy: len(draft) for proxy, draft in self._drafts.items()}
+
+    def _draft(self, proxy: int, *ops: Op) -> None:
+        self._drafts.setdefault(proxy, []).extend(ops)
+
+    def _mask(self, proxy: int, table: int) -> int:
+        return sum(1 << k for k, t in enumerate(self._seats[proxy].bound) if t == table)
+
+    def _level(self, table: int | None, k: int, let_in: float, further: int) -> tuple[float, int]:
+        """The lower level is in force, and the table's own way of trying further."""
+        own = self._tables[table].levels.get(k) if table is not None else None
+        return (min(own[0], let_in), own[1]) if own else (let_in, further)
+
+    def _let_in(self, proxy: int, be: int) -> list[Op]:
+        """A line's worker as this manager has it: shut out, or let in where someone may have shut it out."""
+        told = self._told[proxy]
+        out, doubtful = be in self._out, not told.sure and self._workers.restarted(be)
+        if told.out.get(be, doubtful) == out:
+            return []
+        told.out[be] = out
+        return [("drop" if out else "undrop", 0, be, 0.0, 0)]
+
+    def _set_line(self, o: it.SetLine) -> None:
+        table = self._tables.setdefault(o.table, Table())
+        if o.weight > 0:
+            table.lines[o.be] = o.weight
+        else:
+            table.lines.pop(o.be, None)
+        for proxy in self._users.get(o.table, ()):
+            let_in = self._let_in(proxy, o.be) if o.weight > 0 else []
+            self._draft(proxy, *let_in, ("row", self._mask(proxy, o.table), o.be, o.weight, 0))
+
+    def _empty(self, o: it.Empty) -> None:
+        self._tables[o.table] = Table()
+        for proxy in self._users.get(o.table, ()):
+            self._draft(proxy, ("replace", self._mask(proxy, o.table), 0, 0.0, 0))
+
+    def _bind(self, o: it.Bind) -> None:
+        if o.proxy not in self._seats:
+            return
+        table, kinds = self._tables.setdefault(o.table, Table()), o.kinds & self._all or self._all
+        bound = self._seats[o.proxy].bound
+        for k in range(len(bound)):
+            if kinds >> k & 1:
+                bound[k] = o.table
+        for t, users in self._users.items():
+            if t not in bound:
+                users.pop(o.proxy, None)
+        self._users.setdefault(o.table, {})[o.proxy] = None
+        ops: list[Op] = [("replace", kinds, 0, 0.0, 0)]
+        ops += [("row", kinds, be, weight, 0) for be, weight in table.lines.items()]
+        for k in range(len(bound)):
+            if kinds >> k & 1 and (k in table.levels or k in self._everywhere):
+                level = self._level(o.table, k, *self._everywhere.get(k, table.levels.get(k, (1.0, 0))))
+                ops.append(("gate", 1 << k, 0, *level))
+        for be in table.lines:
+            if be in self._out:
+                self._told[o.proxy].out[be] = False  # told again with each bind, as its cost has it
+            ops += self._let_in(o.proxy, be)
+        self._draft(o.proxy, *ops)
+
+    def _cordon(self, o: it.Cordon) -> None:
+        """A line at each proxy that holds a table with the worker, or tables that are not ours."""
+        if o.on:
+            self._out[o.be] = None
+        else:
+            self._out.pop(o.be, None)
+        for proxy, seat in self._seats.items():
+            holds = any(t is None or o.be in self._tables[t].lines for t in seat.bound)
+            if holds:
+                self._told[proxy].out[o.be] = o.on
+                self._draft(proxy, ("drop" if o.on else "undrop", 0, o.be, 0.0, 0))
+
+    def _set_level(self, o: it.Level) -> None:
+        kinds = [k for k in range(len(self._kinds)) if (o.kinds or self._all) >> k & 1]
+        everywhere = o.table == it.ALL_TABLES
+        levels = self._everywhere if everywhere else self._tables.setdefault(o.table, Table()).levels
+        levels.update(dict.fromkeys(kinds, (o.let_in, int(o.further))))
+        for proxy in list(self._seats if everywhere else self._users.get(o.table, {})):
+            gates: dict[tuple[float, int], int] = {}
+            for k in kinds:
+                table = self._seats[proxy].bound[k]
+                if o.table in (it.ALL_TABLES, table):
+                    level = self._level(table, k, *self._everywhere.get(k, (math.inf, int(o.further))))
+                    gates[level] = gates.get(level, 0) | 1 << k
+            self._draft(proxy, *(("gate", mask, 0, *level) for level, mask in gates.items()))
+
+    def _mark(self, o: it.Mark) -> None:
+        for proxy in list(self._seats if o.everyone else self._drafts):
+            self._draft(proxy, ("stamp", 0, o.number, 0.0, 0))
+
+    def _encode(self, ops: tuple[Op, ...]) -> bytes:
+        parts, size = [Part()], 0
+        masks = [0]  # of the last part: kinds its table fields stand for, 0 while it has none
+        for what, mask, number, figure, further in ops:
+            part = parts[-1]
+            be = self._workers.ids[number] if what in ("row", "drop", "undrop") else b""
+            size += len(be) + 32
+            other = bool(mask) and masks[-1] not in (0, mask)
+            if other or size > PART_MOST or CLASH[what](part, be):
+                part, size = Part(), len(be) + 32
+                parts.append(part)
+                masks.append(0)
+            if mask:
+                masks[-1] = mask
+                part.kinds = self._names(mask)
+            if what == "row":
+                part.rows[be] = figure
+            elif what == "replace":
+                part.replace = True
+            elif what == "gate":
+                part.gate = (figure, further)
+            elif what == "stamp":
+                part.stamp = number
+            else:
+                (part.drop if what == "drop" else part.undrop).append(be)
+        pieces = [parts[n : n + PARTS_MOST] for n in range(0, len(parts), PARTS_MOST)]
+        return b"".join(encode_parts(piece) for piece in pieces)
+
+    def _names(self, mask: int) -> bytes:
+        if mask == self._all:
+            return b""
+        return "+".join(name for k, name in enumerate(self._kinds) if mask >> k & 1).encode()
+
+
+CLASH: dict[str, Callable[[Part, bytes], bool]] = {  # what can't join a part after what it already says
+    "row": lambda part, be: be in part.rows or part.gate is not None,
+    "replace": lambda part, be: part.replace or bool(part.rows) or part.gate is not None,
+    "gate": lambda part, be: part.gate is not None,
+    "drop": lambda part, be: be in part.drop or be in part.undrop,
+    "undrop": lambda part, be: be in part.drop or be in part.undrop,
+    "stamp": lambda part, be: part.stamp is not None,
+}
+TAKE: dict[type, Callable[..., None]] = {
+    it.SetLine: Spread._set_line,
+    it.Empty: Spread._empty,
+    it.Bind: Spread._bind,
+    it.Cordon: Spread._cordon,
+    it.Level: Spread._set_level,
+    it.Mark: Spread._mark,
+}
--- /dev/null
+++ b/cottonladder/wire/messages.py
@@ -0,0 +1,180 @@
+"""What proxies and collectors say, as inputs of the decisions, and one order on a stream, as bytes."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..decisions import interface as it
+from . import resp
+from .terms import Site, WireError
+
+PONG = resp.encode([b"PONG"])
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """A collector names its zone."""
+
+    zone: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unlisted:
+    """A report on a worker that the list has not named: nobody to book it on."""
+
+
+Said = Ping | Source | Unlisted | it.Joined | it.Answered | it.Tally | it.Ingress
+
+
+class Fields:
+    """The names and values of one message; each is read once and checked as it is read."""
+
+    def __init__(self, kind: str, words: list[bytes]) -> None:
+        self.kind = kind
+        if len(words) % 2:
+            raise WireError(f"{kind}: a name without a value")
+        self.values = dict(zip(words[::2], words[1::2], strict=True))
+        if 2 * len(self.values) != len(words):
+            names = words[::2]
+            twice = next(name for name in names if names.count(name) > 1)
+            raise WireError(f"{kind}: field {_shown(twice)} comes twice")
+
+    def word(self, name: str) -> bytes:
+        value = self.values.get(name.encode())
+        if value is None:
+            raise WireError(f"{self.kind}: field {name} is missing")
+        return value
+
+    def text(self, name: str) -> str:
+        try:
+            return self.word(name).decode()
+        except UnicodeDecodeError:
+            raise WireError(f"{self.kind}: field {name} is not text") from None
+
+    def count(self, name: str) -> int:
+        word = self.word(name)
+        if not word.isdigit() or len(word) > 18:
+            raise WireError(f"{self.kind}: field {name} is not a whole number of 0 or more")
+        return int(word)
+
+    def figure(self, name: str) -> float:
+        return figure(self.word(name), f"{self.kind}: field {name}")
+
+    def metrics(self, name: str) -> dict[str, float]:
+        pairs = [pair.rpartition(b":") for pair in self.values.get(name.encode(), b"").split(b",") if pair]
+        where = f"{self.kind}: field {name}"
+        return {key.decode(errors="replace"): figure(value, where) for key, _, value in pairs}
+
+
+def _shown(word: bytes) -> str:
+    return word[:32].decode("ascii", errors="replace")
+
+
+def figure(word: bytes, where: str) -> float:
+    try:
+        value = float(word)
+    except ValueError:
+        raise WireError(f"{where} is not a figure") from None
+    if not math.isfinite(value) or value < 0 or b"_" in word:
+        raise WireError(f"{where} is not a finite figure of 0 or more")
+    return value
+
+
+class Mouth:
+    """Reads messages for one site; `find` gives the small index of a listed worker, or none."""
+
+    def __init__(self, site: Site, find: Callable[[bytes], int | None]) -> None:
+        self.site, self.find = site, find
+
+    def read(self, words: list[bytes]) -> Said:
+        reader = KINDS.get(words[0])
+        if reader is None:
+            raise WireError(f"{_shown(words[0])}: unknown kind of message")
+        return reader(self, Fields(_shown(words[0]), words[1:]))
+
+    def _zone(self, f: Fields) -> int:
+        return self.site.zone(f.text("locality"), f"{f.kind}: field locality")
+
+    def _node(self, f: Fields) -> int:
+        node = f.count("node")
+        if node >= self.site.terms.proxies:
+            raise WireError(f"{f.kind}: field node is beyond the settings")
+        return node
+
+    def _source(self, f: Fields) -> Said:
+        return Source(self._zone(f))
+
+    def _load(self, f: Fields) -> Said:
+        zone, be = self._zone(f), self.find(f.word("endpoint"))
+        total, errors = f.count("total"), f.count("errors")
+        span, report = f.figure("interval") / 1000.0, f.metrics("metrics")
+        took = f.figure("rtt") / 1000.0 if total > errors or b"rtt" in f.values else 0.0
+        return Unlisted() if be is None else it.Tally(be, zone, total, errors, span, took, report)
+
+    def _subscribe(self, f: Fields) -> Said:
+        return it.Joined(self._node(f), self._zone(f), f.figure("w"), f.count("cold") > 0)
+
+    def _ack(self, f: Fields) -> Said:
+        return it.Answered(self._node(f), f.count("nonce"), f.figure("latency") / 1000.0)
+
+    def _rate(self, f: Fields) -> Said:
+        kind = self.site.kind(f.text("route"), f"{f.kind}: field route")
+        return it.Ingress(
+            self._node(f), kind, f.count("total"), f.count("errors"), f.figure("interval") / 1000.0
+        )
+
+
+KINDS: dict[bytes, Callable[[Mouth, Fields], Said]] = {
+    b"PING": lambda mouth, f: Ping(),
+    b"SOURCE": Mouth._source,
+    b"LOAD": Mouth._load,
+    b"SUBSCRIBE": Mouth._subscribe,
+    b"ACK": Mouth._ack,
+    b"RATE": Mouth._rate,
+}
+
+
+@dataclass(slots=True)
+class Part:
+    """One part of a message to a proxy; workers stand by their ids."""
+
+    kinds: bytes = b""  # names joined as the wire has them; empty for all
+    replace: bool = False
+    rows: dict[bytes, float] = field(default_factory=dict)
+    gate: tuple[float, int] | None = None
+    drop: list[bytes] = field(default_factory=list)
+    undrop: list[bytes] = field(default_factory=list)
+    stamp: int | None = None
+
+    def words(self, more: bool) -> list[bytes]:
+        words = [b"CONFIG"]
+        if self.kinds:
+            words += [b"for", self.kinds]
+        if self.replace:
+            words += [b"replace", b"1"]
+        if self.rows:
+            words += [b"rows", b",".join(b"%b:%b" % (be, _plain(w)) for be, w in self.rows.items())]
+        if self.gate is not None:
+            words += [b"gate", _plain(self.gate[0]), b"again", b"%d" % self.gate[1]]
+        if self.drop:
+            words += [b"drop", b",".join(self.drop)]
+        if self.undrop:
+            words += [b"undrop", b",".join(self.undrop)]
+        if self.stamp is not None:
+            words += [b"stamp", b"%d" % self.stamp]
+        return words + [b"part", b"1"] if more else words
+
+
+def _plain(value: float) -> bytes:
+    return repr(float(value)).encode()
+
+
+def encode_parts(parts: list[Part]) -> bytes:
+    return b"".join(resp.encode(part.words(part is not parts[-1])) for part in parts)
--- /dev/null
+++ b/cottonladder/wire/peers.py
@@ -0,0 +1,60 @@
+"""Datagrams between managers of a tier."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, cast
+
+import structlog
+
+from ..decisions import interface as it
+
+DATAGRAM_MOST = 256  # bytes: the protocol's limit; a longer one voids the run
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Owns the datagram socket; a sender is known by its address among the peers, all others are dropped."""
+
+    def __init__(self, me: int, peers: list[str], everyone: str, post: Callable[[it.Input], None]) -> None:
+        self._me, self._post = me, post
+        self._to = [split_address(peer) for peer in peers]
+        self._everyone = split_address(everyone) if everyone else None
+        self._number = {address: n for n, address in enumerate(self._to)}
+        self._transport: asyncio.DatagramTransport | None = None
+        self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
+
+    async def listen(self, address: str) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=split_address(address))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        sender = self._number.get((str(addr[0]), int(addr[1])))
+        if sender is None or sender == self._me or len(data) > DATAGRAM_MOST:
+            return
+        try:
+            self._post(it.Hint(sender, data.decode()))
+        except UnicodeDecodeError:
+            return
+
+    def tell(self, whom: int, text: str) -> None:
+        data = text.encode()
+        to = self._everyone if whom < 0 else self._to[whom] if whom < len(self._to) else None
+        if to is None or self._transport is None:
+            return
+        if len(data) > DATAGRAM_MOST:
+            self.log.error("datagram refused", why=f"{len(data)} bytes, {DATAGRAM_MOST} at most")
+        else:
+            self._transport.sendto(data, to)
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+
+def split_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/cottonladder/wire/probes.py
@@ -0,0 +1,60 @@
+"""Probes of workers over HTTP, each timed from its sending and given back on time."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import aiohttp
+
+from ..decisions import interface as it
+from .messages import figure
+from .terms import WireError
+
+PROBE_WAIT = 0.5  # s for connection and answer together: a fresh probe comes a second later at the earliest
+OPEN_MOST = 64  # sockets that probes may hold at once; further ones wait for their turn
+BODY_MOST = 4096  # bytes of a load report; a line of a few figures
+
+
+def read_report(text: str) -> dict[str, float]:
+    """`TEXT inflight=7, queue=2` as figures by name; what can't be read is left out with the rest of it."""
+    report: dict[str, float] = {}
+    for pair in text.removeprefix("TEXT").split(","):
+        name, sign, value = pair.strip().partition("=")
+        if sign:
+            report[name] = figure(value.strip().encode(), f"load report: field {name[:32]}")
+    return report
+
+
+class Probes:
+    def __init__(self, path: str, address_of: Callable[[int], str], post: Callable[[it.Input], None]) -> None:
+        self._path, self._address_of, self._post = path, address_of, post
+        self._tasks: dict[asyncio.Task[None], None] = {}
+        self._turn = asyncio.Semaphore(OPEN_MOST)
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=PROBE_WAIT),
+            connector=aiohttp.TCPConnector(force_close=True, limit=OPEN_MOST),
+        )
+
+    def send(self, be: int) -> None:
+        task = asyncio.create_task(self._probe(be))
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
+
+    async def _probe(self, be: int) -> None:
+        async with self._turn:
+            sent, done, report = time.monotonic(), False, dict[str, float]()
+            try:
+                async with self._session.get(f"http://{self._address_of(be)}{self._path}") as reply:
+                    body = await reply.content.read(BODY_MOST)
+                    done = reply.status == 200
+                    report = read_report(body.decode()) if done else {}
+            except (aiohttp.ClientError, TimeoutError, OSError, UnicodeDecodeError, WireError):
+                pass  # no answer, none in time or none that can be read: not done
+            self._post(it.Probed(be, done, time.monotonic() - sent, report))
+
+    async def close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await self._session.close()
--- /dev/null
+++ b/cottonladder/wire/resp.py
@@ -0,0 +1,64 @@
+"""RESP2: arrays of bulk strings, cut out of what comes in any pieces, and written."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from .terms import WireError
+
+MESSAGE_MOST = 1 << 20  # bytes: the protocol's own limit for one message
+WORDS_MOST = 64  # the protocol's longest message that comes in has 15 words; room for later fields
+HEAD_MOST = 9  # digits and sign of a count or a length that can pass the limits above
+
+
+class Reader:
+    """Keeps only the unfinished rest of one connection's bytes; a bad head ends it before memory is taken."""
+
+    def __init__(self) -> None:
+        self._rest = bytearray()
+        self._words: list[bytes] = []
+        self._missing = 0  # words that the message begun still lacks
+        self._size = 0
+
+    def feed(self, data: bytes) -> Iterator[list[bytes]]:
+        rest, at = self._rest, 0
+        rest += data
+        try:
+            while True:
+                end = rest.find(b"\r\n", at, at + HEAD_MOST + 2)
+                if end < 0:
+                    if len(rest) - at >= HEAD_MOST + 2:
+                        raise WireError("message: no end of a count or length")
+                    return
+                if not self._missing:
+                    self._missing = self._head(rest[at:end], b"*", WORDS_MOST)
+                    if not self._missing:
+                        raise WireError("message: an array without words")
+                    self._words, self._size, at = [], 0, end + 2
+                    continue
+                length = self._head(rest[at:end], b"$", MESSAGE_MOST - self._size)
+                stop = end + 2 + length
+                if len(rest) < stop + 2:
+                    return
+                if rest[stop : stop + 2] != b"\r\n":
+                    raise WireError("message: a word longer than its stated length")
+                self._words.append(bytes(rest[end + 2 : stop]))
+                self._size, self._missing, at = self._size + length, self._missing - 1, stop + 2
+                if not self._missing:
+                    yield self._words
+        finally:
+            del rest[:at]
+
+    @staticmethod
+    def _head(head: bytearray, sign: bytes, most: int) -> int:
+        digits = bytes(head[1:])
+        if head[:1] != sign or not digits.isdigit():
+            raise WireError(f"message: {sign.decode()} and a count expected")
+        if int(digits) > most:
+            raise WireError(f"message: {sign.decode()}{digits.decode()} is over the limit of {most}")
+        return int(digits)
+
+
+def encode(words: Iterable[bytes]) -> bytes:
+    parts = [b"$%d\r\n%b\r\n" % (len(word), word) for word in words]
+    return b"*%d\r\n" % len(parts) + b"".join(parts)
