--- a/cottonladder/lifecycle/manager.py
+++ b/cottonladder/lifecycle/manager.py
@@ -12,7 +12,7 @@
 from ..state.roster import Roster
 from ..state.spread import Spread
 from ..wire import probes
-from ..wire.address import Address
+from ..wire.address import ACCEPTED_AT_ONCE, Address
 from ..wire.discovery import Discovery
 from ..wire.messages import Mouth
 from ..wire.peers import Peers
@@ -20,12 +20,14 @@
 from .placement import Placement
 
 SOCKETS_KEPT = 32  # descriptors beside connections: log, loop, listener, discovery, datagrams; some spare
+BURST = 4 * ACCEPTED_AT_ONCE  # accepted before the first one too many is closed: four turns of the loop
 
 
 def unnamed_most(placement: Placement) -> int:
     """Connections that may stay open unnamed: the limit less proxies' streams, collectors and probes."""
     terms = placement.site.terms
-    return max(1, placement.sockets - SOCKETS_KEPT - terms.proxies - 2 * terms.zones - probes.OPEN_MOST)
+    needed = SOCKETS_KEPT + BURST + terms.proxies + 2 * terms.zones + probes.OPEN_MOST
+    return max(1, placement.sockets - needed)
 
 
 async def serve(placement: Placement) -> None:
--- a/cottonladder/state/spread.py
+++ b/cottonladder/state/spread.py
@@ -62,8 +62,10 @@
         self.left(proxy)
         self._seats[proxy] = Seat([None] * len(self._kinds))
         known = self._told.get(proxy)
-        if known is None or not (self._alone or fresh):
-            self._told[proxy] = Told(fresh, known.out if known else {})
+        if known is None:
+            self._told[proxy] = Told(fresh)
+        elif not (self._alone or fresh):  # another manager may have shut out whom we let in
+            self._told[proxy] = Told(False, {be: True for be, out in known.out.items() if out})
 
     def left(self, proxy: int) -> None:
         self._seats.pop(proxy, None)
--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -13,6 +13,7 @@
 from .resp import Reader
 from .terms import WireError
 
+ACCEPTED_AT_ONCE = 128  # the kernel's queue, and how many asyncio accepts before it looks round again
 UNSENT_MOST = 4 << 20  # bytes a proxy may leave unread here: four of the longest messages
 NEW, COLLECTOR, STREAM, OLD = "new", "collector", "stream", "old"  # OLD: another stream took its place
 
@@ -119,7 +120,9 @@
 
     async def listen(self, host: str, port: int) -> int:
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=512)
+        self._server = await loop.create_server(
+            lambda: Connection(self), host, port, backlog=ACCEPTED_AT_ONCE
+        )
         return int(self._server.sockets[0].getsockname()[1])
 
     def opened(self, c: Connection) -> None:
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,299 @@
+"""Starts the program by its own command line and speaks to it over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+import unittest
+from contextlib import suppress
+from pathlib import Path
+from typing import Any, cast
+from unittest import mock
+
+from aiohttp import web
+
+from cottonladder.decisions import interface as it
+from cottonladder.decisions.rules import Ladder
+from cottonladder.lifecycle import manager
+from cottonladder.lifecycle.placement import read_placement
+from cottonladder.state.roster import Roster
+from cottonladder.wire import address
+from cottonladder.wire.resp import Reader
+from cottonladder.wire.terms import WireError
+from tests.standins import SETTINGS, Client, Discovery, Handler, Program, entry, host, listing, soon
+
+
+def raw(text: str, status: int = 200) -> Handler:
+    """An answer of these bytes, after which the connection ends."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        reply = web.StreamResponse(status=status)
+        await reply.prepare(request)
+        with suppress(ConnectionError):
+            await reply.write(text.encode())
+        return reply
+
+    return handle
+
+
+class Programs(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.discovery = Discovery()
+        self.at = await self.host(self.discovery.handle)
+
+    async def host(self, handler: Handler) -> str:
+        at, runner = await host(handler)
+        self.addAsyncCleanup(runner.cleanup)
+        return at
+
+    async def serving(self, **changes: Any) -> Program:
+        program = Program(self.at, **changes)
+        await program.serving()
+        self.addAsyncCleanup(self.end, program)
+        return program
+
+    async def end(self, program: Program) -> None:
+        if program.process.returncode is None:
+            await program.stop()
+
+    async def connect(self, program: Program, first: str = "") -> Client:
+        client = await program.connect()
+        self.addCleanup(client.close)
+        if first:
+            client.say(first)
+        return client
+
+    async def join(self, program: Program, node: int, cold: int = 1) -> Client:
+        proxy = await self.connect(program)
+        proxy.join(node, cold=cold)
+        return proxy
+
+    async def test_a_day_in_small(self) -> None:
+        """Joins are bound, marks answered, reports taken, a drain told; then a clean stop and a new start."""
+        program = await self.serving()
+        self.assertIn("watch=1&after=41", await soon(self.discovery.calls.get()))
+        proxy = await self.join(program, 3)
+        bound = await proxy.hear()
+        self.assertRegex(bound, r"^CONFIG replace 1 rows s-1:0\.5,s-2:0\.5 part 1$")
+        proxy.ack(await proxy.hear_of("stamp"))
+        collector = await self.connect(program, "SOURCE locality a")
+        for n in range(3):
+            collector.say("LOAD locality a endpoint s-1 total 20 errors 1 rtt 41.7 interval 1000.0")
+            collector.say("LOAD locality b endpoint s-9 total 5 errors 5 interval 1000.0 metrics inflight:7")
+            proxy.say(f"RATE node 3 route lookup total {19 + n} errors 0 interval 1000.0")
+            collector.say("RATE node 5 route order total 4 errors 0 interval 1000.0")  # has never joined
+            proxy.say(f"ACK node 3 nonce {60000 + n} latency 3.5")  # of no mark
+        await self.discovery.tell(listing(42, entry("s-1", "Terminating"), entry("s-3", zone="b")))
+        self.assertIn("drop s-1", await proxy.hear_of("drop"))
+        await program.logged("event=mode", "well>gone leaving: draining")
+        collector.say("PING")
+        self.assertEqual(await collector.hear(), "PONG")
+        self.assertEqual(collector.come, [])  # nothing else was ever written to it
+        begun = time.monotonic()
+        self.assertEqual(await program.stop(), 0)
+        self.assertLess(time.monotonic() - begun, 5.0)
+        again = Program(self.at, **{**program.config, "listen": f"127.0.0.1:{program.port}"})
+        await again.serving()
+        self.addAsyncCleanup(self.end, again)
+        self.assertIn("replace 1 rows", await (await self.join(again, 3, cold=0)).hear())
+
+    async def test_ping_in_pieces(self) -> None:
+        program = await self.serving()
+        client = await self.connect(program)
+        for byte in b"*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI":
+            client.writer.write(bytes([byte]))
+            await client.writer.drain()
+        self.assertEqual(await client.hear(), "PONG")
+        client.writer.write(b"NG\r\n*1\r\n$4\r\nPING\r\n")
+        self.assertEqual([await client.hear(), await client.hear()], ["PONG", "PONG"])
+
+    async def test_the_newest_stream_of_a_proxy_holds(self) -> None:
+        program = await self.serving()
+        old = await self.join(program, 3)
+        await old.hear_of("replace")
+        new = await self.join(program, 3, cold=0)
+        await new.hear_of("replace")
+        old.say("ACK node 3 nonce 1 latency 1")  # a word that was on its way
+        old.close()
+        await program.logged("connection ended", "state=old")
+        await self.discovery.tell(listing(42, entry("s-1", "Terminating")))
+        await new.hear_of("drop s-1")
+
+    async def test_bad_input_ends_that_connection_alone(self) -> None:
+        program = await self.serving()
+        good = await self.join(program, 2)
+        await good.hear_of("replace")
+        for line in (Path(__file__).parent / "wire" / "bad.txt").read_text().splitlines():
+            if line and not line.startswith("#"):
+                said, _, words = line.partition(" | ")
+                with self.subTest(line):
+                    client = await self.connect(program)
+                    if said.startswith("raw "):
+                        client.writer.write(said[4:].encode().decode("unicode_escape").encode())
+                    else:
+                        for message in said.split(" ; "):
+                            client.say(message)
+                    await client.ended()
+                    await program.logged("connection ended", *words.split())
+        quiet = await self.connect(program)
+        good.say("PING")
+        await good.hear_of("PONG")
+        quiet.say("PING")
+        self.assertEqual(await quiet.hear(), "PONG")
+
+    async def test_a_failed_call_leaves_the_list_as_it_is(self) -> None:
+        """Each bad answer is one failed call, asked again when the module says so; then a good one counts."""
+        gone, odd = listing(44, entry("s-1", "Gone")), entry("s", "No")
+        bad = {
+            "status 503": raw("", 503),
+            "not JSON": raw('{"version":42,\n'),
+            "cut off": raw(json.dumps(gone)),
+            "version 40 after 41": raw(json.dumps(listing(40)) + "\n"),
+            "state has an unknown value": raw(json.dumps(listing(42, entry("s-1", "Gone"), odd)) + "\n"),
+            "field addr": raw(json.dumps(listing(42, entry("s-1", "Gone"), entry("s-4", addr=7))) + "\n"),
+            "ended by discovery": raw(json.dumps(listing(42)) + "\n"),
+        }  # fmt: skip
+        self.discovery.script = list(bad.values())
+        settings = {"Rules": {**SETTINGS["Rules"], "AskWithinMs": 100.0}}
+        program = await self.serving(settings=settings)
+        for words in bad:
+            await program.logged("discovery call failed", *words.split())
+        self.assertFalse([line for line in program.lines if "gone" in line])
+        await self.discovery.tell(gone)
+        await program.logged("event=mode", "well>gone")
+
+    async def test_a_silent_watch_is_given_up(self) -> None:
+        """Discovery's machine is cut off: the watch stays open and brings not even its empty lines."""
+        given_up = asyncio.Event()
+
+        async def silent(request: web.BaseRequest) -> web.StreamResponse:
+            reply = web.StreamResponse()
+            await reply.prepare(request)
+            await reply.write(b"\n")
+            try:
+                await asyncio.sleep(60.0)
+            finally:
+                given_up.set()
+            return reply
+
+        self.discovery.script = [silent]
+        program = await self.serving()
+        await program.logged("discovery call failed")
+        await soon(given_up.wait())
+        await soon(self.discovery.watches.get())  # asked again
+
+    async def test_probes_and_their_time_outs(self) -> None:
+        async def worker(request: web.BaseRequest) -> web.StreamResponse:
+            asked.put_nowait(request.path)
+            return web.Response(text="TEXT inflight=7, queue=2, util=0.61")
+
+        async def silent(request: web.BaseRequest) -> web.StreamResponse:
+            await asyncio.sleep(60.0)
+            return web.Response()
+
+        asked: asyncio.Queue[str] = asyncio.Queue()
+        good = [entry(f"s-{n}", addr=await self.host(worker), zone="b") for n in range(5)]
+        lost = entry("s-9", addr=await self.host(silent), zone="b")
+        settings = {"Limits": {"Probing": True, "Peers": False}, "Prices": {"Probe": 0.0}}
+        program = await self.serving(settings=settings, known=listing(1, *good, lost, full=True))
+        self.assertEqual(await soon(asked.get()), "/load")
+        await program.logged("event=mode", "be 5 well>out bad", "lost 2")
+
+    async def test_datagrams(self) -> None:
+        """What the module tells goes to all peers; strangers and what can't be read are dropped."""
+        heard: asyncio.Queue[bytes] = asyncio.Queue()
+
+        class Peer(asyncio.DatagramProtocol):
+            def datagram_received(self, data: bytes, addr: object) -> None:
+                heard.put_nowait(data)
+
+        loop = asyncio.get_running_loop()
+        one, _ = await loop.create_datagram_endpoint(Peer, local_addr=("127.0.0.1", 0))
+        stranger, _ = await loop.create_datagram_endpoint(Peer, local_addr=("127.0.0.1", 0))
+        own, _ = await loop.create_datagram_endpoint(Peer, local_addr=("127.0.0.1", 0))
+        where = ["127.0.0.1:%d" % t.get_extra_info("sockname")[1] for t in (own, one)]  # noqa: UP031
+        own.close()
+        settings = {"Limits": {"Probing": False, "Peers": True}, "NInstances": 2}
+        peers = {"peer_listen": where[0], "peers": where, "peers_all": where[1]}
+        program = await self.serving(settings=settings, **peers)
+        words = (await soon(heard.get())).decode().split()
+        self.assertEqual(len(words), 4)  # proxies and demand, for each of two zones
+        own_words = ((one, b"\xff\xfe"), (one, b"1 2 " * 99), (one, b"1 2 3 4"))
+        for transport, data in ((stranger, b"9 9 9 9"), *own_words):
+            transport.sendto(data, (where[0].split(":")[0], int(where[0].split(":")[1])))
+        client = await self.connect(program, "PING")
+        self.assertEqual(await client.hear(), "PONG")
+        one.close()
+        stranger.close()
+
+    async def test_strangers_do_not_use_up_what_proxies_need(self) -> None:
+        program = Program(self.at)
+        program.config["limits"]["sockets"] = 700
+        await program.serving()
+        self.addAsyncCleanup(self.end, program)
+        strangers = [await self.connect(program) for _ in range(150)]
+        await program.logged("connection ended", "have not said who they are")
+        await strangers[0].ended()
+        proxy = await self.join(program, 1)
+        await proxy.hear_of("replace")
+        strangers[-1].say("PING")
+        self.assertEqual(await strangers[-1].hear(), "PONG")
+
+    async def test_a_configuration_that_lacks_something(self) -> None:
+        whole = Program(self.at).config
+        lacks = {name: json.dumps({k: v for k, v in whole.items() if k != name}) for name in
+                 ("name", "listen", "discovery", "seed", "limits", "known", "settings")}  # fmt: skip
+        rules = json.dumps({**whole, "settings": {**SETTINGS, "Rules": {}}})
+        bad = {**lacks, "JSON": "{", "ColdFrom": rules, "address": json.dumps({**whole, "listen": "here"})}
+        for word, text in bad.items():
+            with self.subTest(word):
+                program = Program(self.at)
+                await program.start(text)
+                errors = (await soon(cast(asyncio.StreamReader, program.process.stderr).read())).decode()
+                self.assertEqual(await program.stop(), 2)
+                self.assertEqual(errors.count("\n"), 1, errors)
+                self.assertIn(word, errors)
+                self.assertEqual(program.lines, [])
+
+    async def test_a_fault_of_the_module_is_not_swallowed(self) -> None:
+        program = Program(self.at)
+        await program.serving()
+        placement = read_placement(str(program.folder / "config.json"))
+        await program.stop()
+
+        class Faulty(Ladder):
+            def decide(self, now: float, inputs: Any) -> list[it.Order]:
+                if any(isinstance(item, it.Wake) for item in inputs):
+                    raise ZeroDivisionError("a fault")
+                return super().decide(now, inputs)
+
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(manager, "Ladder", Faulty), self.assertRaises(ZeroDivisionError):
+            await soon(manager.serve(placement))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
+
+    async def test_a_long_message_is_refused_before_it_is_taken(self) -> None:
+        begun = b"*2\r\n$600000\r\n" + b"x" * 600000 + b"\r\n$600000\r\n"
+        with self.assertRaisesRegex(WireError, "over the limit"):
+            list(Reader().feed(begun))
+
+    async def test_who_reads_nothing_is_ended_before_it_fills_memory(self) -> None:
+        """Seen by a transport that takes all and sends nothing; up to the bound nobody is ended."""
+        transport = mock.Mock(spec=asyncio.Transport)
+        transport.is_closing.return_value = False
+        transport.get_extra_info.return_value = ("127.0.0.1", 1)
+        connection = address.Connection(address.Address(mock.Mock(), Roster(mock.Mock()), 8))
+        connection.connection_made(transport)
+        transport.get_write_buffer_size.return_value = address.UNSENT_MOST - 10
+        connection.send(b"x" * 10)
+        transport.abort.assert_not_called()
+        connection.send(b"x" * 11)
+        transport.abort.assert_called_once()
+        self.assertIn("unread", connection.why)
+
+
+if __name__ == "__main__":
+    unittest.main()
