--- a/cottonladder/lifecycle/manager.py
+++ b/cottonladder/lifecycle/manager.py
@@ -23,11 +23,13 @@
 BURST = 4 * ACCEPTED_AT_ONCE  # accepted before the first one too many is closed: four turns of the loop
 
 
-def unnamed_most(placement: Placement) -> int:
-    """Connections that may stay open unnamed: the limit less proxies' streams, collectors and probes."""
+def bounds(placement: Placement) -> tuple[int, int]:
+    """Connections that may be open beside proxies' streams, from the descriptors; and bytes that one proxy
+    may leave unread here, so that all of them together hold a quarter of the memory at most."""
     terms = placement.site.terms
-    needed = SOCKETS_KEPT + BURST + terms.proxies + 2 * terms.zones + probes.OPEN_MOST
-    return max(1, placement.sockets - needed)
+    needed = SOCKETS_KEPT + BURST + terms.proxies + probes.OPEN_MOST
+    unread = (placement.memory_mb << 20) // (4 * max(1, terms.proxies))
+    return max(2 * terms.zones, placement.sockets - needed), unread
 
 
 async def serve(placement: Placement) -> None:
@@ -45,13 +47,13 @@
         stack.push_async_callback(probing.close)
         peers = Peers(site.me, placement.peers, placement.peers_all, inbox.put)
         stack.callback(peers.close)
-        if site.terms.peers:
+        if placement.peer_listen is not None:
             await peers.listen(placement.peer_listen)
         spread = Spread(list(site.kinds), site.terms.managers, workers)
         owner = Owner(Ladder(site.terms), inbox, roster, spread, Hands(discovery, probing, peers))
         stack.callback(owner.close)
         owner.step([placement.known])  # it can decide from here on, so from here on it answers
-        address = Address(Mouth(site, workers.find), roster, unnamed_most(placement))
+        address = Address(Mouth(site, workers.find), roster, *bounds(placement))
         stack.push_async_callback(address.close)
         port = await address.listen(*placement.listen)
         log.info("serving", name=placement.name, host=placement.listen[0], port=port)
--- a/cottonladder/lifecycle/owner.py
+++ b/cottonladder/lifecycle/owner.py
@@ -18,6 +18,8 @@
 from ..wire.peers import Peers
 from ..wire.probes import Probes
 
+BEHIND_LEAST = 0.01  # s: what is shorter nobody feels, as looks are a quarter of a second apart
+
 
 class Clock:
     """Unix time as it was at the start, led on by a clock that only advances: steps of the system's time
@@ -65,6 +67,7 @@
         self._ladder, self._inbox, self._roster, self._spread = ladder, inbox, roster, spread
         self._hands, self._clock = hands, Clock()
         self._set, self._timers = 0, dict[int, asyncio.TimerHandle]()
+        self._worst: dict[str, float] = {}
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
         self._carry: dict[type, Callable[..., None]] = {
             it.WakeIn: self._wake_in,
@@ -77,7 +80,15 @@
 
     async def run(self) -> None:
         while True:
-            self.step(await self._inbox.take())
+            batch, begun = await self._inbox.take(), time.monotonic()
+            self.step(batch)
+            self._behind("batch", time.monotonic() - begun)
+
+    def _behind(self, what: str, seconds: float) -> None:
+        """One line where a batch took longer, or a timer came later, than any before by half."""
+        if seconds > max(BEHIND_LEAST, 1.5 * self._worst.get(what, 0.0)):
+            self._worst[what] = seconds
+            self.log.info("behind", what=what, ms=round(seconds * 1000, 1))
 
     def step(self, batch: list[it.Input]) -> None:
         """One batch: joins and leaves are kept before the module sees them, so that orders meet them."""
@@ -103,7 +114,7 @@
         )
 
     def _due(self, timer: int, token: int) -> None:
-        del self._timers[timer]
+        self._behind("timer", asyncio.get_running_loop().time() - self._timers.pop(timer).when())
         self._inbox.put(it.Wake(token))
 
     def close(self) -> None:
--- a/cottonladder/lifecycle/placement.py
+++ b/cottonladder/lifecycle/placement.py
@@ -4,13 +4,12 @@
 
 import json
 from dataclasses import dataclass
-from typing import Any
 
 from ..decisions import interface as it
 from ..state.workers import Workers
 from ..wire.discovery import read_list
-from ..wire.peers import split_address
-from ..wire.terms import Site, WireError, field, read_site
+from ..wire.peers import Address
+from ..wire.terms import NUMBER, Site, WireError, address, field, read_site
 
 WHERE = "configuration"
 
@@ -20,12 +19,13 @@
     """Where this manager stands and what it starts from; `known` is the list as it was last held."""
 
     name: str
-    listen: tuple[str, int]
-    discovery: str
+    listen: Address
+    discovery: Address
     sockets: int
-    peer_listen: str
-    peers: list[str]
-    peers_all: str
+    memory_mb: int
+    peer_listen: Address | None
+    peers: list[Address]
+    peers_all: Address | None
     site: Site
     workers: Workers
     version: int
@@ -51,28 +51,20 @@
     workers = Workers()
     known = field(body, "known", dict, WHERE)
     version, listing = read_list(known, site, workers.learn, f"{WHERE}: known")
-    talks = site.terms.peers
+    talks, limits = site.terms.peers, field(body, "limits", dict, WHERE)
+    peers = field(body, "peers", list, WHERE) if talks else []
     return Placement(
         name=field(body, "name", str, WHERE),
-        listen=split_address(_address(body, "listen")),
-        discovery=_address(body, "discovery"),
-        sockets=field(field(body, "limits", dict, WHERE), "sockets", int, f"{WHERE}: limits"),
-        peer_listen=_address(body, "peer_listen") if talks else "",
-        peers=[_checked(peer, "peers") for peer in field(body, "peers", list, WHERE)] if talks else [],
-        peers_all=_address(body, "peers_all") if talks else "",
+        listen=address(body, "listen", WHERE),
+        discovery=address(body, "discovery", WHERE),
+        sockets=int(field(limits, "sockets", NUMBER, f"{WHERE}: limits")),
+        memory_mb=int(field(limits, "memory_mb", NUMBER, f"{WHERE}: limits")),
+        peer_listen=address(body, "peer_listen", WHERE) if talks else None,
+        peers=[address({"peers": peer}, "peers", WHERE) for peer in peers],
+        peers_all=address(body, "peers_all", WHERE) if talks else None,
         site=site,
         workers=workers,
         version=version,
         known=it.Listing(it.News.CACHED, listing.entries),
     )
 
-
-def _address(body: Any, name: str) -> str:
-    return _checked(field(body, name, str, WHERE), name)
-
-
-def _checked(text: Any, name: str) -> str:
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise WireError(f"{WHERE}: field {name} is not an address (host:port)")
-    return str(text)
--- a/cottonladder/state/spread.py
+++ b/cottonladder/state/spread.py
@@ -58,14 +58,13 @@
         self._drafts: dict[int, list[Op]] = {}
 
     def joined(self, proxy: int, fresh: bool) -> None:
-        """Its tables are its own until it is bound; a message drafted for its last stream is lost."""
+        """Its tables are its own until it is bound.  What was on its way to its last stream may be lost,
+        a line that let in too, so all that it was ever told to shut out is in doubt; a line for each."""
         self.left(proxy)
         self._seats[proxy] = Seat([None] * len(self._kinds))
         known = self._told.get(proxy)
-        if known is None:
-            self._told[proxy] = Told(fresh)
-        elif not (self._alone or fresh):  # another manager may have shut out whom we let in
-            self._told[proxy] = Told(False, {be: True for be, out in known.out.items() if out})
+        sure = fresh or (self._alone and known is not None and known.sure)
+        self._told[proxy] = Told(sure, dict.fromkeys(known.out, True) if known else {})
 
     def left(self, proxy: int) -> None:
         self._seats.pop(proxy, None)
--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -10,11 +10,11 @@
 
 from ..decisions import interface as it
 from . import messages as m
-from .resp import Reader
+from .resp import MESSAGE_MOST, Reader
 from .terms import WireError
 
 ACCEPTED_AT_ONCE = 128  # the kernel's queue, and how many asyncio accepts before it looks round again
-UNSENT_MOST = 4 << 20  # bytes a proxy may leave unread here: four of the longest messages
+FIRST_MOST = 4096  # bytes of a message from who has not yet said who they are: the first ones are short
 NEW, COLLECTOR, STREAM, OLD = "new", "collector", "stream", "old"  # OLD: another stream took its place
 
 
@@ -28,7 +28,7 @@
 
 class Connection(asyncio.Protocol):
     def __init__(self, address: Address) -> None:
-        self.address, self.reader, self.state = address, Reader(), NEW
+        self.address, self.reader, self.state = address, Reader(FIRST_MOST), NEW
         self.proxy, self.peer, self.why = -1, "", ""
         self._transport: asyncio.Transport | None = None
 
@@ -39,6 +39,8 @@
         self.address.opened(self)
 
     def data_received(self, data: bytes) -> None:
+        if self.state != STREAM:
+            self.address.spare(self)
         try:
             for words in self.reader.feed(data):
                 said = self.address.mouth.read(words)
@@ -57,7 +59,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if transport.get_write_buffer_size() + len(data) > UNSENT_MOST:
+        if transport.get_write_buffer_size() + len(data) > self.address.unsent_most:
             self.end(f"left {transport.get_write_buffer_size()} bytes unread")
         else:
             transport.write(data)
@@ -72,12 +74,12 @@
         self.send(m.PONG)
 
     def _source(self, said: m.Said) -> None:
-        self.state = COLLECTOR
+        self.state, self.reader.most = COLLECTOR, MESSAGE_MOST
         self.address.named(self, "collector")
 
     def _subscribe(self, said: m.Said) -> None:
         joined = cast(it.Joined, said)
-        self.state, self.proxy = STREAM, joined.proxy
+        self.state, self.proxy, self.reader.most = STREAM, joined.proxy, MESSAGE_MOST
         self.address.named(self, f"proxy {joined.proxy}")
         self.address.ear.joined(self, joined)
 
@@ -108,14 +110,16 @@
 
 
 class Address:
-    """Listens, and bounds what may stay open: of those who have not said who they are, or whose place a newer
-    stream took, the oldest is ended when there are too many, so that they never use up what proxies need."""
+    """Listens, and bounds what may stay open: of all connections that are no proxy's stream in force, the one
+    that has been silent longest is ended when there are too many, so that strangers, half-open collectors and
+    streams whose place was taken never use up what proxies need.  Harms a collector that is silent for long
+    while strangers come in hundreds; it connects again."""
 
-    def __init__(self, mouth: m.Mouth, ear: Ear, unnamed_most: int) -> None:
-        self.mouth, self.ear, self.unnamed_most = mouth, ear, unnamed_most
+    def __init__(self, mouth: m.Mouth, ear: Ear, spare_most: int, unsent_most: int) -> None:
+        self.mouth, self.ear, self.spare_most, self.unsent_most = mouth, ear, spare_most, unsent_most
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
         self._open: dict[Connection, None] = {}
-        self._unnamed: dict[Connection, None] = {}
+        self._spare: dict[Connection, None] = {}  # silent longest first
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> int:
@@ -127,26 +131,28 @@
 
     def opened(self, c: Connection) -> None:
         self._open[c] = None
-        self._bound(c)
+        self.spare(c)
 
     def named(self, c: Connection, who: str) -> None:
-        self._unnamed.pop(c, None)
+        if c.state == STREAM:
+            self._spare.pop(c, None)
         self.log.info("connection opened", peer=c.peer, who=who)
 
     def superseded(self, c: Connection) -> None:
         c.state = OLD
-        self._bound(c)
+        self.spare(c)
 
-    def _bound(self, c: Connection) -> None:
-        self._unnamed[c] = None
-        if len(self._unnamed) > self.unnamed_most:
-            oldest = next(iter(self._unnamed))
-            del self._unnamed[oldest]
-            oldest.end("too many connections that have not said who they are")
+    def spare(self, c: Connection) -> None:
+        self._spare.pop(c, None)
+        self._spare[c] = None
+        if len(self._spare) > self.spare_most:
+            silent = next(iter(self._spare))
+            del self._spare[silent]
+            silent.end("too many connections that are no proxy's stream")
 
     def ended(self, c: Connection, why: str) -> None:
         self._open.pop(c, None)
-        self._unnamed.pop(c, None)
+        self._spare.pop(c, None)
         if c.state == STREAM:
             self.ear.left(c)
         self.log.info("connection ended", peer=c.peer, state=c.state, proxy=c.proxy, why=why)
--- a/cottonladder/wire/discovery.py
+++ b/cottonladder/wire/discovery.py
@@ -11,10 +11,11 @@
 import structlog
 
 from ..decisions import interface as it
-from .terms import NUMBER, Site, WireError, field, seconds
+from .terms import NUMBER, Site, WireError, address, field, seconds
 
 SILENCE = 3.0  # s without a byte: discovery writes at least an empty line each 2 s, and fails calls after 2 s
 LIST_MOST = 8 << 20  # bytes of one line or list: some 50,000 workers; more is refused as unreadable
+ID_MOST = 255  # characters of a worker's id: far above any seen, and a line stays short
 MODES = {"Ready": it.Mode.READY, "Terminating": it.Mode.DRAINING, "Gone": it.Mode.GONE}
 Learn = Callable[[str, str, float], int]  # id, address, start -> small index
 
@@ -29,13 +30,14 @@
         state = field(entry, "state", str, where)
         if state not in MODES:
             raise WireError(f"{where}: field state has an unknown value")
-        if not be.isascii() or not be.isprintable() or any(sign in be for sign in ", :"):
+        if not 0 < len(be) <= ID_MOST or not be.isascii() or not be.isprintable() or set(be) & set(", :"):
             raise WireError(f"{where}: field id can't stand in an order")
         weight, started = float(field(entry, "weight", NUMBER, where)), seconds(entry, "started_ms", where)
         if not (0 <= weight < float("inf") and 0 <= started < float("inf")):
             raise WireError(f"{where}: field weight or started_ms is not a finite figure of 0 or more")
         zone = site.zone(field(entry, "zone", str, where), f"{where}: field zone")
-        rows.append((be, field(entry, "addr", str, where), zone, MODES[state], weight, started))
+        host, port = address(entry, "addr", where)
+        rows.append((be, f"{host}:{port}", zone, MODES[state], weight, started))
     entries = tuple(
         it.Entry(learn(be, addr, started), zone, mode, weight, started)
         for be, addr, zone, mode, weight, started in rows
@@ -47,10 +49,10 @@
     """Owns its session and at most one watch and one call for the list; calls are never piled up."""
 
     def __init__(
-        self, at: str, site: Site, learn: Learn, post: Callable[[it.Input], None], version: int
+        self, at: tuple[str, int], site: Site, learn: Learn, post: Callable[[it.Input], None], version: int
     ) -> None:
-        self._url, self._site, self._learn, self._post = f"http://{at}/v1/servers", site, learn, post
-        self.version = version
+        self._url = f"http://{at[0]}:{at[1]}/v1/servers"
+        self._site, self._learn, self._post, self.version = site, learn, post, version
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
         self._watch: asyncio.Task[None] | None = None
         self._call: asyncio.Task[None] | None = None
@@ -106,17 +108,21 @@
     def _take(self, text: bytes) -> None:
         try:
             body = json.loads(text)
-        except ValueError:
+            if field(body, "version", int, "list") < self.version:
+                raise WireError(f"list: version {body['version']} after {self.version}")
+            version, listing = read_list(body, self._site, self._learn, "list")
+        except (RecursionError, OverflowError) as exc:
+            raise WireError(f"list: {exc}") from None
+        except json.JSONDecodeError:
             raise WireError("list: not JSON") from None
-        if field(body, "version", int, "list") < self.version:
-            raise WireError(f"list: version {body['version']} after {self.version}")
-        self.version, listing = read_list(body, self._site, self._learn, "list")
+        self.version = version
         self._post(listing)
 
     async def close(self) -> None:
-        for task in (self._watch, self._call):
-            if task is not None:
-                task.cancel()
+        tasks = [task for task in (self._watch, self._call) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._session.close()
 
 
--- a/cottonladder/wire/peers.py
+++ b/cottonladder/wire/peers.py
@@ -11,22 +11,22 @@
 from ..decisions import interface as it
 
 DATAGRAM_MOST = 256  # bytes: the protocol's limit; a longer one voids the run
+Address = tuple[str, int]
 
 
 class Peers(asyncio.DatagramProtocol):
     """Owns the datagram socket; a sender is known by its address among the peers, all others are dropped."""
 
-    def __init__(self, me: int, peers: list[str], everyone: str, post: Callable[[it.Input], None]) -> None:
-        self._me, self._post = me, post
-        self._to = [split_address(peer) for peer in peers]
-        self._everyone = split_address(everyone) if everyone else None
+    def __init__(
+        self, me: int, peers: list[Address], everyone: Address | None, post: Callable[[it.Input], None]
+    ) -> None:
+        self._me, self._to, self._everyone, self._post = me, peers, everyone, post
         self._number = {address: n for n, address in enumerate(self._to)}
         self._transport: asyncio.DatagramTransport | None = None
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
 
-    async def listen(self, address: str) -> None:
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=split_address(address))
+    async def listen(self, address: Address) -> None:
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
@@ -53,8 +53,3 @@
     def close(self) -> None:
         if self._transport is not None:
             self._transport.close()
-
-
-def split_address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
--- a/cottonladder/wire/probes.py
+++ b/cottonladder/wire/probes.py
@@ -55,6 +55,8 @@
             self._post(it.Probed(be, done, time.monotonic() - sent, report))
 
     async def close(self) -> None:
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._session.close()
--- a/cottonladder/wire/resp.py
+++ b/cottonladder/wire/resp.py
@@ -14,7 +14,8 @@
 class Reader:
     """Keeps only the unfinished rest of one connection's bytes; a bad head ends it before memory is taken."""
 
-    def __init__(self) -> None:
+    def __init__(self, most: int) -> None:
+        self.most = most  # bytes of one message
         self._rest = bytearray()
         self._words: list[bytes] = []
         self._missing = 0  # words that the message begun still lacks
@@ -36,7 +37,7 @@
                         raise WireError("message: an array without words")
                     self._words, self._size, at = [], 0, end + 2
                     continue
-                length = self._head(rest[at:end], b"$", MESSAGE_MOST - self._size)
+                length = self._head(rest[at:end], b"$", self.most - self._size)
                 stop = end + 2 + length
                 if len(rest) < stop + 2:
                     return
--- a/cottonladder/wire/terms.py
+++ b/cottonladder/wire/terms.py
@@ -35,6 +35,14 @@
     return float(value) / 1000.0
 
 
+def address(body: Any, name: str, where: str) -> tuple[str, int]:
+    """A field that holds host:port."""
+    host, _, port = field(body, name, str, where).rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or int(port[:6]) > 65535:
+        raise WireError(f"{where}: field {name} is not an address (host:port)")
+    return host, int(port)
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     """What the settings say: the module's terms, and the names that a front maps to small indices."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -15,7 +15,7 @@
 
 from aiohttp import web
 
-from cottonladder.wire.resp import Reader, encode
+from cottonladder.wire.resp import MESSAGE_MOST, Reader, encode
 
 T = TypeVar("T")
 WAIT = 15.0  # s for any event, so that a slow machine fails no test
@@ -83,7 +83,8 @@
     """A proxy's, collector's or stranger's connection."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer, self.resp, self.come = reader, writer, Reader(), list[list[bytes]]()
+        self.reader, self.writer = reader, writer
+        self.resp, self.come = Reader(MESSAGE_MOST), list[list[bytes]]()
 
     def say(self, text: str) -> None:
         self.writer.write(encode(text.encode().split()))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -20,7 +20,7 @@
 from cottonladder.lifecycle.placement import read_placement
 from cottonladder.state.roster import Roster
 from cottonladder.wire import address
-from cottonladder.wire.resp import Reader
+from cottonladder.wire.resp import MESSAGE_MOST, Reader
 from cottonladder.wire.terms import WireError
 from tests.standins import SETTINGS, Client, Discovery, Handler, Program, entry, host, listing, soon
 
@@ -152,7 +152,9 @@
             "cut off": raw(json.dumps(gone)),
             "version 40 after 41": raw(json.dumps(listing(40)) + "\n"),
             "state has an unknown value": raw(json.dumps(listing(42, entry("s-1", "Gone"), odd)) + "\n"),
-            "field addr": raw(json.dumps(listing(42, entry("s-1", "Gone"), entry("s-4", addr=7))) + "\n"),
+            "field addr": raw(json.dumps(listing(42, entry("s-1", "Gone"), entry("s-4", addr="x:y"))) + "\n"),
+            "recursion": raw("[" * 100_000 + "\n"),
+            "float": raw(json.dumps(listing(42, entry("s-4", weight=10**400))) + "\n"),
             "ended by discovery": raw(json.dumps(listing(42)) + "\n"),
         }  # fmt: skip
         self.discovery.script = list(bad.values())
@@ -234,7 +236,7 @@
         await program.serving()
         self.addAsyncCleanup(self.end, program)
         strangers = [await self.connect(program) for _ in range(150)]
-        await program.logged("connection ended", "have not said who they are")
+        await program.logged("connection ended", "no proxy's stream")
         await strangers[0].ended()
         proxy = await self.join(program, 1)
         await proxy.hear_of("replace")
@@ -278,16 +280,16 @@
     async def test_a_long_message_is_refused_before_it_is_taken(self) -> None:
         begun = b"*2\r\n$600000\r\n" + b"x" * 600000 + b"\r\n$600000\r\n"
         with self.assertRaisesRegex(WireError, "over the limit"):
-            list(Reader().feed(begun))
+            list(Reader(MESSAGE_MOST).feed(begun))
 
     async def test_who_reads_nothing_is_ended_before_it_fills_memory(self) -> None:
         """Seen by a transport that takes all and sends nothing; up to the bound nobody is ended."""
         transport = mock.Mock(spec=asyncio.Transport)
         transport.is_closing.return_value = False
         transport.get_extra_info.return_value = ("127.0.0.1", 1)
-        connection = address.Connection(address.Address(mock.Mock(), Roster(mock.Mock()), 8))
+        connection = address.Connection(address.Address(mock.Mock(), Roster(mock.Mock()), 8, 1000))
         connection.connection_made(transport)
-        transport.get_write_buffer_size.return_value = address.UNSENT_MOST - 10
+        transport.get_write_buffer_size.return_value = 990
         connection.send(b"x" * 10)
         transport.abort.assert_not_called()
         connection.send(b"x" * 11)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -18,7 +18,7 @@
 from cottonladder.decisions import interface as it
 from cottonladder.state.spread import Spread
 from cottonladder.state.workers import Workers
-from cottonladder.wire.resp import Reader
+from cottonladder.wire.resp import MESSAGE_MOST, Reader
 
 
 class Player:
@@ -55,7 +55,7 @@
         elif verb == "sends":
             self.sent.update(self.spread.messages())
             self.seen = {}
-            messages = list(Reader().feed(self.sent.pop(int(args[0][1:]), b"")))
+            messages = list(Reader(MESSAGE_MOST).feed(self.sent.pop(int(args[0][1:]), b"")))
             expect({m[0] for m in messages} or {b"CONFIG"}, {b"CONFIG"})
             parts = [b" ".join(m[1:]).decode() for m in messages]
             expect(" | ".join(parts) or "nothing", " ".join(args[1:]))
