--- a/cottonladder/lifecycle/cli.py
+++ b/cottonladder/lifecycle/cli.py
@@ -15,7 +15,7 @@
 from .placement import Placement, read_placement
 
 FILE = click.option(
-    "--config", "path", envvar="ROUTER_CONFIG", required=True, help="The configuration, a JSON file."
+    "--config", "path", envvar="ROUTER_CONFIG", default="", help="The configuration, a JSON file."
 )
 
 
--- a/cottonladder/lifecycle/placement.py
+++ b/cottonladder/lifecycle/placement.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from typing import Any
 
 from ..decisions import interface as it
 from ..state.workers import Workers
@@ -33,13 +34,22 @@
 
 
 def read_placement(path: str) -> Placement:
+    if not path:
+        raise WireError(f"{WHERE}: neither --config nor ROUTER_CONFIG names a file")
     try:
         with open(path, encoding="utf-8") as file:
             body = json.load(file)
     except OSError as exc:
         raise WireError(f"{WHERE}: {path}: {exc.strerror}") from None
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise WireError(f"{WHERE}: not JSON ({exc})") from None
+    try:
+        return _placement(body)
+    except OverflowError as exc:
+        raise WireError(f"{WHERE}: a figure is too large ({exc})") from None
+
+
+def _placement(body: Any) -> Placement:
     seed = field(body, "seed", str, WHERE)
     try:
         number = int(seed, 16)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -248,7 +248,9 @@
         lacks = {name: json.dumps({k: v for k, v in whole.items() if k != name}) for name in
                  ("name", "listen", "discovery", "seed", "limits", "known", "settings")}  # fmt: skip
         rules = json.dumps({**whole, "settings": {**SETTINGS, "Rules": {}}})
-        bad = {**lacks, "JSON": "{", "ColdFrom": rules, "address": json.dumps({**whole, "listen": "here"})}
+        large = json.dumps({**whole, "settings": {**SETTINGS, "Prices": {"Probe": 10**400}}})
+        here = json.dumps({**whole, "listen": "here"})
+        bad = {**lacks, "JSON": "{", "ColdFrom": rules, "too large": large, "address": here}
         for word, text in bad.items():
             with self.subTest(word):
                 program = Program(self.at)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -90,6 +90,20 @@
 
 
 class Spreads(unittest.TestCase):
+    def test_a_table_beyond_one_part(self) -> None:
+        """All its lines arrive, in parts that the protocol takes; the last says that none follows."""
+        workers = Workers()
+        spread = Spread(["fetch"], 1, workers)
+        spread.joined(0, True)
+        for n in range(50_000):
+            spread.take(it.SetLine(1, workers.learn(f"s-{n:040}", "", 0.0), 1.5))
+        spread.take(it.Bind(0, 1, 0))
+        ((_, data),) = spread.messages()
+        parts = list(Reader(MESSAGE_MOST).feed(data))
+        self.assertEqual(sum(part[part.index(b"rows") + 1].count(b":") for part in parts), 50_000)
+        self.assertEqual([b"part" in part for part in parts], [True] * (len(parts) - 1) + [False])
+        self.assertTrue(all(sum(map(len, part)) < MESSAGE_MOST for part in parts))
+
     def test_scenarios(self) -> None:
         paths = sorted((Path(__file__).parent / "spread").glob("*.txt"))
         self.assertTrue(paths)
