What a proxy shuts out is in doubt after a lost stream; descriptors shared by the limit given

Accepts, probes and strangers get parts of the descriptors stated, so that limits below 1,024 hold too (tested with 128).

--- a/cottonladder/lifecycle/manager.py
+++ b/cottonladder/lifecycle/manager.py
@@ -11,31 +11,32 @@
 from ..decisions.rules import Ladder
 from ..state.roster import Roster
 from ..state.spread import Spread
-from ..wire import probes
-from ..wire.address import ACCEPTED_AT_ONCE, Address
+from ..wire.address import Address, Shares
 from ..wire.discovery import Discovery
 from ..wire.messages import Mouth
 from ..wire.peers import Peers
+from ..wire.probes import Probes
 from .owner import Hands, Inbox, Owner
 from .placement import Placement
 
-SOCKETS_KEPT = 32  # descriptors beside connections: log, loop, listener, discovery, datagrams; some spare
-BURST = 4 * ACCEPTED_AT_ONCE  # accepted before the first one too many is closed: four turns of the loop
+KEPT = 24  # descriptors for log, loop, listener, discovery, datagrams and the like, with some to spare
+TURNS = 4  # of the loop from an accept to the closing of whoever is one too many
 
 
-def bounds(placement: Placement) -> tuple[int, int]:
-    """Connections that may be open beside proxies' streams, from the descriptors; and bytes that one proxy
-    may leave unread here, so that all of them together hold a quarter of the memory at most."""
-    terms = placement.site.terms
-    needed = SOCKETS_KEPT + BURST + terms.proxies + probes.OPEN_MOST
+def shares(placement: Placement) -> Shares:
+    """Proxies' streams come first; accepts in flight and probes get a part of the descriptors, strangers and
+    collectors what is left; what proxies leave unread may hold a quarter of the memory, over all of them."""
+    terms, sockets = placement.site.terms, placement.sockets
+    accepts, probes = min(128, max(4, sockets // 32)), min(64, max(4, sockets // 16))
+    left = sockets - KEPT - TURNS * accepts - probes - terms.proxies
     unread = (placement.memory_mb << 20) // (4 * max(1, terms.proxies))
-    return max(2 * terms.zones, placement.sockets - needed), unread
+    return Shares(max(2 * terms.zones, left), accepts, probes, unread)
 
 
 async def serve(placement: Placement) -> None:
     """Until SIGTERM or SIGINT; a fault of the module is raised from here."""
     log: structlog.stdlib.BoundLogger = structlog.get_logger()
-    site, workers, inbox = placement.site, placement.workers, Inbox()
+    site, workers, inbox, limits = placement.site, placement.workers, Inbox(), shares(placement)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
@@ -43,7 +44,8 @@
     async with AsyncExitStack() as stack:
         discovery = Discovery(placement.discovery, site, workers.learn, inbox.put, placement.version)
         stack.push_async_callback(discovery.close)
-        probing = probes.Probes("/load" if site.load_reports else "/healthz", workers.address, inbox.put)
+        path = "/load" if site.load_reports else "/healthz"
+        probing = Probes(path, limits.probes, workers.address, inbox.put)
         stack.push_async_callback(probing.close)
         peers = Peers(site.me, placement.peers, placement.peers_all, inbox.put)
         stack.callback(peers.close)
@@ -53,7 +55,7 @@
         owner = Owner(Ladder(site.terms), inbox, roster, spread, Hands(discovery, probing, peers))
         stack.callback(owner.close)
         owner.step([placement.known])  # it can decide from here on, so from here on it answers
-        address = Address(Mouth(site, workers.find), roster, *bounds(placement))
+        address = Address(Mouth(site, workers.find), roster, limits)
         stack.push_async_callback(address.close)
         port = await address.listen(*placement.listen)
         log.info("serving", name=placement.name, host=placement.listen[0], port=port)
--- a/cottonladder/state/spread.py
+++ b/cottonladder/state/spread.py
@@ -36,10 +36,10 @@
 
 @dataclass(slots=True)
 class Told:
-    """What a proxy was told of workers, over all its streams; `sure`: nobody else told it anything."""
+    """Whom a proxy shuts out, as told over all its streams; None: in doubt.  `sure`: told by nobody else."""
 
     sure: bool
-    out: dict[int, bool] = field(default_factory=dict)
+    out: dict[int, bool | None] = field(default_factory=dict)
 
 
 Op = tuple[str, int, int, float, int]  # what, kinds, worker or number, figure, further tries
@@ -64,7 +64,7 @@
         self._seats[proxy] = Seat([None] * len(self._kinds))
         known = self._told.get(proxy)
         sure = fresh or (self._alone and known is not None and known.sure)
-        self._told[proxy] = Told(sure, dict.fromkeys(known.out, True) if known else {})
+        self._told[proxy] = Told(sure, dict.fromkeys(known.out) if known else {})
 
     def left(self, proxy: int) -> None:
         self._seats.pop(proxy, None)
@@ -116,7 +116,7 @@
         """A line's worker as this manager has it: shut out, or let in where someone may have shut it out."""
         told = self._told[proxy]
         out, doubtful = be in self._out, not told.sure and self._workers.restarted(be)
-        if told.out.get(be, doubtful) == out:
+        if told.out.get(be, None if doubtful else False) == out:
             return []
         told.out[be] = out
         return [("drop" if out else "undrop", 0, be, 0.0, 0)]
@@ -156,7 +156,7 @@
                 ops.append(("gate", 1 << k, 0, *level))
         for be in table.lines:
             if be in self._out:
-                self._told[o.proxy].out[be] = False  # told again with each bind, as its cost has it
+                self._told[o.proxy].out[be] = None  # told again with each bind, as its cost has it
             ops += self._let_in(o.proxy, be)
         self._draft(o.proxy, *ops)
 
--- a/cottonladder/state/workers.py
+++ b/cottonladder/state/workers.py
@@ -13,7 +13,7 @@
     def __init__(self) -> None:
         self.ids: list[bytes] = []
         self._addresses: list[str] = []
-        self._started: list[float] = []
+        self._restarted: list[bool] = []
         self._index: dict[bytes, int] = {}
 
     def learn(self, name: str, address: str, started: float) -> int:
@@ -25,8 +25,9 @@
             index = self._index[key] = len(self.ids)
             self.ids.append(key)
             self._addresses.append(address)
-            self._started.append(started)
-        self._addresses[index], self._started[index] = address, started
+            self._restarted.append(False)
+        self._addresses[index] = address
+        self._restarted[index] |= started > 0
         return index
 
     def find(self, key: bytes) -> int | None:
@@ -36,7 +37,8 @@
         return 0 <= be < len(self.ids)
 
     def restarted(self, be: int) -> bool:
-        return self._started[be] > 0
+        """Ever, as far as the list told: a start of long ago is listed as none."""
+        return self._restarted[be]
 
     def address(self, be: int) -> str:
         return self._addresses[be]
--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol, cast
 
 import structlog
@@ -13,7 +15,7 @@
 from .resp import MESSAGE_MOST, Reader
 from .terms import WireError
 
-ACCEPTED_AT_ONCE = 128  # the kernel's queue, and how many asyncio accepts before it looks round again
+QUEUE = 512  # connections that the kernel holds until they are accepted: all proxies may dial at once
 FIRST_MOST = 4096  # bytes of a message from who has not yet said who they are: the first ones are short
 NEW, COLLECTOR, STREAM, OLD = "new", "collector", "stream", "old"  # OLD: another stream took its place
 
@@ -59,7 +61,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if transport.get_write_buffer_size() + len(data) > self.address.unsent_most:
+        if transport.get_write_buffer_size() + len(data) > self.address.shares.unread:
             self.end(f"left {transport.get_write_buffer_size()} bytes unread")
         else:
             transport.write(data)
@@ -109,25 +111,37 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """What the machine's limits leave for each use; see lifecycle/manager."""
+
+    spare: int  # connections open beside proxies' streams
+    accepts: int  # connections accepted at once
+    probes: int  # probes open at once
+    unread: int  # bytes that one proxy may leave unread here
+
+
 class Address:
     """Listens, and bounds what may stay open: of all connections that are no proxy's stream in force, the one
     that has been silent longest is ended when there are too many, so that strangers, half-open collectors and
     streams whose place was taken never use up what proxies need.  Harms a collector that is silent for long
     while strangers come in hundreds; it connects again."""
 
-    def __init__(self, mouth: m.Mouth, ear: Ear, spare_most: int, unsent_most: int) -> None:
-        self.mouth, self.ear, self.spare_most, self.unsent_most = mouth, ear, spare_most, unsent_most
+    def __init__(self, mouth: m.Mouth, ear: Ear, shares: Shares) -> None:
+        self.mouth, self.ear, self.shares = mouth, ear, shares
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
         self._open: dict[Connection, None] = {}
         self._spare: dict[Connection, None] = {}  # silent longest first
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> int:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: Connection(self), host, port, backlog=ACCEPTED_AT_ONCE
+        """asyncio accepts as many at once as its backlog says: a small one; the kernel's is set after it."""
+        listener = socket.create_server((host, port))
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: Connection(self), sock=listener, backlog=self.shares.accepts
         )
-        return int(self._server.sockets[0].getsockname()[1])
+        listener.listen(QUEUE)
+        return int(listener.getsockname()[1])
 
     def opened(self, c: Connection) -> None:
         self._open[c] = None
@@ -145,7 +159,7 @@
     def spare(self, c: Connection) -> None:
         self._spare.pop(c, None)
         self._spare[c] = None
-        if len(self._spare) > self.spare_most:
+        if len(self._spare) > self.shares.spare:
             silent = next(iter(self._spare))
             del self._spare[silent]
             silent.end("too many connections that are no proxy's stream")
--- a/cottonladder/wire/probes.py
+++ b/cottonladder/wire/probes.py
@@ -13,7 +13,6 @@
 from .terms import WireError
 
 PROBE_WAIT = 0.5  # s for connection and answer together: a fresh probe comes a second later at the earliest
-OPEN_MOST = 64  # sockets that probes may hold at once; further ones wait for their turn
 BODY_MOST = 4096  # bytes of a load report; a line of a few figures
 
 
@@ -28,13 +27,17 @@
 
 
 class Probes:
-    def __init__(self, path: str, address_of: Callable[[int], str], post: Callable[[it.Input], None]) -> None:
+    """Owns its tasks and session; past `most` open at once, further ones wait for their turn."""
+
+    def __init__(
+        self, path: str, most: int, address_of: Callable[[int], str], post: Callable[[it.Input], None]
+    ) -> None:
         self._path, self._address_of, self._post = path, address_of, post
         self._tasks: dict[asyncio.Task[None], None] = {}
-        self._turn = asyncio.Semaphore(OPEN_MOST)
+        self._turn = asyncio.Semaphore(most)
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=PROBE_WAIT),
-            connector=aiohttp.TCPConnector(force_close=True, limit=OPEN_MOST),
+            connector=aiohttp.TCPConnector(force_close=True, limit=most),
         )
 
     def send(self, be: int) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import resource
 import signal
 import time
 import unittest
@@ -232,16 +233,20 @@
 
     async def test_strangers_do_not_use_up_what_proxies_need(self) -> None:
         program = Program(self.at)
-        program.config["limits"]["sockets"] = 700
+        program.config["limits"]["sockets"] = 128
         await program.serving()
         self.addAsyncCleanup(self.end, program)
-        strangers = [await self.connect(program) for _ in range(150)]
-        await program.logged("connection ended", "no proxy's stream")
-        await strangers[0].ended()
+        resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (128, 128))
+        await asyncio.gather(*(self.connect(program) for _ in range(400)))
+        for _ in range(400 - 128):
+            await program.logged("connection ended", "no proxy's stream")
         proxy = await self.join(program, 1)
         await proxy.hear_of("replace")
-        strangers[-1].say("PING")
-        self.assertEqual(await strangers[-1].hear(), "PONG")
+        late = await self.connect(program, "PING")
+        self.assertEqual(await late.hear(), "PONG")
+        self.assertEqual(await program.stop(), 0)
+        errors = await cast(asyncio.StreamReader, program.process.stderr).read()
+        self.assertEqual(errors, b"")  # asyncio tells here of accepts that found no descriptor left
 
     async def test_a_configuration_that_lacks_something(self) -> None:
         whole = Program(self.at).config
@@ -289,7 +294,8 @@
         transport = mock.Mock(spec=asyncio.Transport)
         transport.is_closing.return_value = False
         transport.get_extra_info.return_value = ("127.0.0.1", 1)
-        connection = address.Connection(address.Address(mock.Mock(), Roster(mock.Mock()), 8, 1000))
+        shares = address.Shares(spare=8, accepts=4, probes=4, unread=1000)
+        connection = address.Connection(address.Address(mock.Mock(), Roster(mock.Mock()), shares))
         connection.connection_made(transport)
         transport.get_write_buffer_size.return_value = 990
         connection.send(b"x" * 10)
