--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -12,13 +12,17 @@
 
 from __future__ import annotations
 
+import random
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from cottonladder.decisions import interface as it
+from cottonladder.decisions.rules import Ladder
 from cottonladder.state.spread import Spread
 from cottonladder.state.workers import Workers
 from cottonladder.wire.resp import MESSAGE_MOST, Reader
+from tests.test_scenarios import USUAL
 
 
 class Player:
@@ -89,7 +93,109 @@
         raise AssertionError(f"{seen!r} instead")
 
 
+class Holder:
+    """A proxy by the protocol page, for tables that all kinds read; messages wait until they arrive."""
+
+    def __init__(self) -> None:
+        self.rows, self.out, self.waiting = dict[bytes, float](), set[bytes](), list[bytes]()
+
+    def arrive(self) -> None:
+        for message in Reader(MESSAGE_MOST).feed(b"".join(self.waiting)):
+            fields = dict(zip(message[1::2], message[2::2], strict=True))
+            if b"replace" in fields:
+                self.rows = {}
+            for row in filter(None, fields.get(b"rows", b"").split(b",")):
+                be, _, weight = row.partition(b":")
+                self.rows[be] = float(weight)
+            self.out |= set(filter(None, fields.get(b"drop", b"").split(b",")))
+            self.out -= set(fields.get(b"undrop", b"").split(b","))
+        self.rows = {be: weight for be, weight in self.rows.items() if weight > 0}
+        self.waiting = []
+
+
+class Walk:
+    """Module and spread under inputs drawn at random, streams that break with words on their way, and, with
+    two managers, proxies from another one, which shut out whom it liked of those that have restarted."""
+
+    def __init__(self, seed: int, managers: int) -> None:
+        self.draw = random.Random(seed)
+        terms = replace(USUAL, seed=seed, managers=managers, zones=3, proxies=12, probing=True, avoids=True)
+        self.ladder, self.workers, self.managers = Ladder(terms), Workers(), managers
+        self.spread = Spread(["fetch", "release"], managers, self.workers)
+        self.now, self.token, self.holders = 1e9, 0, dict[int, Holder]()
+
+    def entry(self, n: int) -> it.Entry:
+        started = self.draw.choice([0.0, 0.0, self.now - 5.0])
+        mode = self.draw.choice([it.Mode.READY] * 4 + [it.Mode.DRAINING, it.Mode.GONE])
+        return it.Entry(self.workers.learn(f"s-{n}", "", started), n % 3, mode, 1.0, started)
+
+    def listing(self, news: it.News) -> it.Listing:
+        names = [self.draw.randrange(14) for _ in range(self.draw.choice([1, 14]))]
+        return it.Listing(news, tuple(self.entry(n) for n in names))
+
+    def join(self, p: int) -> list[it.Input]:
+        fresh, left = self.draw.random() < 0.5 or p not in self.holders, it.Left(p)
+        holder = Holder() if fresh else self.holders[p]
+        holder.waiting = holder.waiting[: self.draw.randrange(3)]  # the rest is lost with the stream
+        holder.arrive()
+        if self.managers > 1 and not fresh:
+            restarted = [i for i in range(len(self.workers.ids)) if self.workers.restarted(i)]
+            holder.out |= {self.workers.ids[i] for i in self.draw.sample(restarted, min(3, len(restarted)))}
+        again: list[it.Input] = [left] if p in self.holders else []
+        self.holders[p] = holder
+        return [*again, it.Joined(p, p % 3, 10.0, fresh)]
+
+    def inputs(self) -> list[it.Input]:
+        n, be = self.draw.randrange(30), self.draw.randrange(len(self.workers.ids))
+        drawn = self.draw.randrange(6)
+        if drawn == 0:
+            return self.join(self.draw.randrange(12))
+        if drawn == 1:
+            return [self.listing(self.draw.choice([it.News.DELTA, it.News.FULL, it.News.FAILED]))]
+        if drawn == 2:
+            return [it.Tally(be, n % 3, n, self.draw.randint(0, n), 1.0, self.draw.choice([0.1, 3.0]), {})]
+        if drawn == 3:
+            return [it.Probed(be, n > 10, 0.1, {"inflight": float(n)})]
+        return [it.Answered(n % 12, self.draw.randrange(300), 0.2), it.Ingress(n % 12, n % 2, n, 0, 2.0)]
+
+    def step(self, inputs: list[it.Input]) -> None:
+        for item in inputs:
+            if isinstance(item, it.Joined):
+                self.spread.joined(item.proxy, item.fresh)
+            elif isinstance(item, it.Left):
+                self.spread.left(item.proxy)
+        for order in self.ladder.decide(self.now, inputs):
+            if isinstance(order, it.WakeIn):
+                self.token = order.token
+            elif not isinstance(order, (it.Follow, it.Probe, it.Tell, it.Remark)):
+                expect(self.spread.take(order), "")
+        for p, data in self.spread.messages():
+            self.holders[p].waiting.append(data)
+
+    def agree(self) -> None:
+        """Once all has arrived, bound proxies hold and shut out what the module takes them to."""
+        for table in self.ladder.tables:
+            for p in table.users:
+                holder = self.holders[p]
+                holder.arrive()
+                sent = {self.workers.ids[i]: w for i, w in table.sent.items() if w > 0}
+                out = {self.workers.ids[i] for i in table.sent if self.ladder.bes[i].cordoned}
+                expect(holder.rows, sent)
+                expect(holder.out & set(sent), out & set(sent))
+
+
 class Spreads(unittest.TestCase):
+    def test_proxies_hold_what_the_module_takes_them_to(self) -> None:
+        for seed in range(8):
+            walk = Walk(seed, 1 + seed % 2)
+            walk.step([walk.listing(it.News.CACHED)])
+            for n in range(400):
+                walk.now += walk.draw.choice([0.01, 0.25, 0.25, 2.0])
+                walk.step([*walk.inputs(), *([it.Wake(walk.token)] if n % 2 else [])])
+                if n % 10 == 0:
+                    with self.subTest(seed=seed, step=n):
+                        walk.agree()
+
     def test_a_table_beyond_one_part(self) -> None:
         """All its lines arrive, in parts that the protocol takes; the last says that none follows."""
         workers = Workers()
