--- a/cottonladder/lifecycle/owner.py
+++ b/cottonladder/lifecycle/owner.py
@@ -65,7 +65,7 @@
 
     def __init__(self, ladder: Ladder, inbox: Inbox, roster: Roster, spread: Spread, hands: Hands) -> None:
         self._ladder, self._inbox, self._roster, self._spread = ladder, inbox, roster, spread
-        self._hands, self._clock = hands, Clock()
+        self._clock = Clock()
         self._set, self._timers = 0, dict[int, asyncio.TimerHandle]()
         self._worst: dict[str, float] = {}
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
--- a/cottonladder/state/spread.py
+++ b/cottonladder/state/spread.py
@@ -27,13 +27,6 @@
     levels: dict[int, tuple[float, int]] = field(default_factory=dict)  # by kind: let in, further
 
 
-@dataclass(slots=True)
-class Seat:
-    """A joined proxy: the table that each kind reads, if one of ours."""
-
-    bound: list[int | None]
-
-
 @dataclass(slots=True)
 class Told:
     """Whom a proxy shuts out, as told over all its streams; None: in doubt.  `sure`: told by nobody else."""
@@ -52,7 +45,7 @@
         self._tables: dict[int, Table] = {}
         self._everywhere: dict[int, tuple[float, int]] = {}  # levels for all proxies, by kind
         self._out: dict[int, None] = {}
-        self._seats: dict[int, Seat] = {}
+        self._bound: dict[int, list[int | None]] = {}  # who is joined: each kind's table of ours
         self._told: dict[int, Told] = {}
         self._users: dict[int, dict[int, None]] = {}  # table -> proxies that read it, for any kind
         self._drafts: dict[int, list[Op]] = {}
@@ -61,13 +54,13 @@
         """Its tables are its own until it is bound.  What was on its way to its last stream may be lost,
         a line that let in too, so all that it was ever told to shut out is in doubt; a line for each."""
         self.left(proxy)
-        self._seats[proxy] = Seat([None] * len(self._kinds))
+        self._bound[proxy] = [None] * len(self._kinds)
         known = self._told.get(proxy)
         sure = fresh or (self._alone and known is not None and known.sure)
         self._told[proxy] = Told(sure, dict.fromkeys(known.out) if known else {})
 
     def left(self, proxy: int) -> None:
-        self._seats.pop(proxy, None)
+        self._bound.pop(proxy, None)
         self._drafts.pop(proxy, None)
         for users in self._users.values():
             users.pop(proxy, None)
@@ -88,7 +81,7 @@
         encoded: dict[tuple[Op, ...], bytes] = {}
         for proxy, draft in drafts.items():
             for k, (let_in, further) in self._everywhere.items():
-                level = self._level(self._seats[proxy].bound[k], k, let_in, further)
+                level = self._level(self._bound[proxy][k], k, let_in, further)
                 gate: Op = ("gate", 1 << k, 0, *level)
                 if gate not in draft:  # levels for all go with every message
                     draft.append(gate)
@@ -102,10 +95,11 @@
         return {proxy: len(draft) for proxy, draft in self._drafts.items()}
 
     def _draft(self, proxy: int, *ops: Op) -> None:
-        self._drafts.setdefault(proxy, []).extend(ops)
+        if ops:  # a level for kinds that the proxy reads elsewhere writes it no message
+            self._drafts.setdefault(proxy, []).extend(ops)
 
     def _mask(self, proxy: int, table: int) -> int:
-        return sum(1 << k for k, t in enumerate(self._seats[proxy].bound) if t == table)
+        return sum(1 << k for k, t in enumerate(self._bound[proxy]) if t == table)
 
     def _level(self, table: int | None, k: int, let_in: float, further: int) -> tuple[float, int]:
         """The lower level is in force, and the table's own way of trying further."""
@@ -137,10 +131,10 @@
             self._draft(proxy, ("replace", self._mask(proxy, o.table), 0, 0.0, 0))
 
     def _bind(self, o: it.Bind) -> None:
-        if o.proxy not in self._seats:
+        if o.proxy not in self._bound:
             return
         table, kinds = self._tables.setdefault(o.table, Table()), o.kinds & self._all or self._all
-        bound = self._seats[o.proxy].bound
+        bound = self._bound[o.proxy]
         for k in range(len(bound)):
             if kinds >> k & 1:
                 bound[k] = o.table
@@ -166,8 +160,8 @@
             self._out[o.be] = None
         else:
             self._out.pop(o.be, None)
-        for proxy, seat in self._seats.items():
-            holds = any(t is None or o.be in self._tables[t].lines for t in seat.bound)
+        for proxy, bound in self._bound.items():
+            holds = any(t is None or o.be in self._tables[t].lines for t in bound)
             if holds:
                 self._told[proxy].out[o.be] = o.on
                 self._draft(proxy, ("drop" if o.on else "undrop", 0, o.be, 0.0, 0))
@@ -177,17 +171,17 @@
         everywhere = o.table == it.ALL_TABLES
         levels = self._everywhere if everywhere else self._tables.setdefault(o.table, Table()).levels
         levels.update(dict.fromkeys(kinds, (o.let_in, int(o.further))))
-        for proxy in list(self._seats if everywhere else self._users.get(o.table, {})):
+        for proxy in list(self._bound if everywhere else self._users.get(o.table, {})):
             gates: dict[tuple[float, int], int] = {}
             for k in kinds:
-                table = self._seats[proxy].bound[k]
+                table = self._bound[proxy][k]
                 if o.table in (it.ALL_TABLES, table):
                     level = self._level(table, k, *self._everywhere.get(k, (math.inf, int(o.further))))
                     gates[level] = gates.get(level, 0) | 1 << k
             self._draft(proxy, *(("gate", mask, 0, *level) for level, mask in gates.items()))
 
     def _mark(self, o: it.Mark) -> None:
-        for proxy in list(self._seats if o.everyone else self._drafts):
+        for proxy in list(self._bound if o.everyone else self._drafts):
             self._draft(proxy, ("stamp", 0, o.number, 0.0, 0))
 
     def _encode(self, ops: tuple[Op, ...]) -> bytes:
--- a/cottonladder/wire/discovery.py
+++ b/cottonladder/wire/discovery.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import aiohttp
@@ -68,18 +68,20 @@
             return  # the call made is still under way: discovery takes calls one after another
         if pending and self._watch is not None:
             self._watch.cancel()
-        self._watch = asyncio.create_task(self._run(self._follow())) if on else None
+        self._watch = asyncio.create_task(self._run(self._follow)) if on else None
 
     def fetch(self) -> None:
         if self._call is None or self._call.done():
-            self._call = asyncio.create_task(self._run(self._fetch()))
+            self._call = asyncio.create_task(self._run(self._fetch))
 
-    async def _run(self, call: Any) -> None:
+    async def _run(self, call: Callable[[], Awaitable[None]]) -> None:
         try:
-            await call
+            return await call()
         except (aiohttp.ClientError, TimeoutError, OSError, WireError) as exc:
             self.log.info("discovery call failed", why=str(exc) or type(exc).__name__)
-            self._post(it.Listing(it.News.FAILED, ()))
+        except Exception:  # a fault of ours: unheard, the module would think that it follows
+            self.log.exception("discovery call failed", why="a fault of this program")
+        self._post(it.Listing(it.News.FAILED, ()))
 
     async def _fetch(self) -> None:
         async with self._session.get(self._url) as reply:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -21,8 +21,9 @@
 from cottonladder.lifecycle.placement import read_placement
 from cottonladder.state.roster import Roster
 from cottonladder.wire import address
+from cottonladder.wire.discovery import Discovery as WireDiscovery
 from cottonladder.wire.resp import MESSAGE_MOST, Reader
-from cottonladder.wire.terms import WireError
+from cottonladder.wire.terms import WireError, read_site
 from tests.standins import SETTINGS, Client, Discovery, Handler, Program, entry, host, listing, soon
 
 
@@ -167,6 +168,19 @@
         await self.discovery.tell(gone)
         await program.logged("event=mode", "well>gone")
 
+    async def test_a_fault_in_reading_the_list_is_heard_of(self) -> None:
+        def faulty(name: str, address: str, started: float) -> int:
+            raise ZeroDivisionError
+
+        heard: asyncio.Queue[it.Input] = asyncio.Queue()
+        where = ("127.0.0.1", int(self.at.split(":")[1]))
+        follower = WireDiscovery(where, read_site(SETTINGS, 1, ""), faulty, heard.put_nowait, 41)
+        follower.follow(True)
+        await self.discovery.tell(listing(42, entry("s-1")))
+        news = [cast(it.Listing, await soon(heard.get())).news for _ in range(2)]
+        self.assertEqual(news, [it.News.DELTA, it.News.FAILED])
+        await follower.close()
+
     async def test_a_silent_watch_is_given_up(self) -> None:
         """Discovery's machine is cut off: the watch stays open and brings not even its empty lines."""
         given_up = asyncio.Event()
