--- a/cottonladder/lifecycle/cli.py
+++ b/cottonladder/lifecycle/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 from importlib import metadata
 
@@ -10,10 +11,12 @@
 import structlog
 
 from .. import __version__
-from ..wire.terms import WireError
+from ..wire.messages import PING, PONG
+from ..wire.terms import WireError, address
 from .manager import serve as serve_manager
 from .placement import Placement, read_placement
 
+PING_WAIT = 2.0  # s for each step: a manager that serves answers within one turn of its loop
 FILE = click.option(
     "--config", "path", envvar="ROUTER_CONFIG", default="", help="The configuration, a JSON file."
 )
@@ -64,6 +67,26 @@
     )
 
 
+@main.command()
+@click.argument("where", metavar="HOST:PORT")
+def ping(where: str) -> None:
+    """Ask a manager whether it serves; status 1 if it gives no answer."""
+    try:
+        with socket.create_connection(address({"where": where}, "where", "ping"), PING_WAIT) as connection:
+            connection.sendall(PING)
+            answer = b""
+            while len(answer) < len(PONG) and (more := connection.recv(64)):
+                answer += more
+    except WireError as exc:
+        click.echo(exc, err=True)
+        sys.exit(2)
+    except OSError as exc:
+        click.echo(f"{where}: {exc}", err=True)
+        sys.exit(1)
+    click.echo(f"{where}: serves" if answer == PONG else f"{where}: answers, but not with PONG")
+    sys.exit(answer != PONG)
+
+
 @main.command()
 def version() -> None:
     """Tell the program's version and those of what it stands on."""
--- a/cottonladder/lifecycle/manager.py
+++ b/cottonladder/lifecycle/manager.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 import signal
 from contextlib import AsyncExitStack
 
@@ -27,6 +28,8 @@
     """Proxies' streams come first; accepts in flight and probes get a part of the descriptors, strangers and
     collectors what is left; what proxies leave unread may hold a quarter of the memory, over all of them."""
     terms, sockets = placement.site.terms, placement.sockets
+    most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)  # the system may allow less
+    sockets = sockets if most == resource.RLIM_INFINITY else min(sockets, most)
     accepts, probes = min(128, max(4, sockets // 32)), min(64, max(4, sockets // 16))
     left = sockets - KEPT - TURNS * accepts - probes - terms.proxies
     unread = (placement.memory_mb << 20) // (4 * max(1, terms.proxies))
--- a/cottonladder/wire/messages.py
+++ b/cottonladder/wire/messages.py
@@ -10,7 +10,7 @@
 from . import resp
 from .terms import Site, WireError
 
-PONG = resp.encode([b"PONG"])
+PING, PONG = resp.encode([b"PING"]), resp.encode([b"PONG"])
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -45,7 +45,7 @@
     runner = web.ServerRunner(web.Server(handler, handler_cancellation=True), shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
-    return "127.0.0.1:%d" % runner.addresses[0][1], runner  # noqa: UP031
+    return f"127.0.0.1:{runner.addresses[0][1]}", runner
 
 
 class Discovery:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -6,6 +6,7 @@
 import json
 import resource
 import signal
+import sys
 import time
 import unittest
 from contextlib import suppress
@@ -111,6 +112,22 @@
         client.writer.write(b"NG\r\n*1\r\n$4\r\nPING\r\n")
         self.assertEqual([await client.hear(), await client.hear()], ["PONG", "PONG"])
 
+    async def test_ping_from_the_command_line(self) -> None:
+        program = await self.serving()
+        stranger = await self.host(raw(""))  # speaks, but another protocol
+        for where, status, words in (
+            (f"127.0.0.1:{program.port}", 0, "serves"),
+            (stranger, 1, "not with PONG"),
+            ("here", 2, "host:port"),
+        ):
+            asked = await asyncio.create_subprocess_exec(
+                sys.executable, "-B", "-m", "cottonladder", "ping", where,
+                stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
+            )  # fmt: skip
+            said, _ = await soon(asked.communicate())
+            self.assertEqual((asked.returncode, said.count(b"\n")), (status, 1), said)
+            self.assertIn(words, said.decode())
+
     async def test_the_newest_stream_of_a_proxy_holds(self) -> None:
         program = await self.serving()
         old = await self.join(program, 3)
@@ -230,7 +247,7 @@
         one, _ = await loop.create_datagram_endpoint(Peer, local_addr=("127.0.0.1", 0))
         stranger, _ = await loop.create_datagram_endpoint(Peer, local_addr=("127.0.0.1", 0))
         own, _ = await loop.create_datagram_endpoint(Peer, local_addr=("127.0.0.1", 0))
-        where = ["127.0.0.1:%d" % t.get_extra_info("sockname")[1] for t in (own, one)]  # noqa: UP031
+        where = [f"127.0.0.1:{t.get_extra_info('sockname')[1]}" for t in (own, one)]
         own.close()
         settings = {"Limits": {"Probing": False, "Peers": True}, "NInstances": 2}
         peers = {"peer_listen": where[0], "peers": where, "peers_all": where[1]}
