--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -19,6 +19,7 @@
 from cottonladder.decisions import interface as it
 from cottonladder.decisions.rules import Ladder
 from cottonladder.lifecycle import manager
+from cottonladder.lifecycle.owner import Clock
 from cottonladder.lifecycle.placement import read_placement
 from cottonladder.state.roster import Roster
 from cottonladder.wire import address
@@ -320,6 +321,14 @@
         with self.assertRaisesRegex(WireError, "over the limit"):
             list(Reader(MESSAGE_MOST).feed(begun))
 
+    async def test_steps_of_the_systems_time_do_not_reach_the_module(self) -> None:
+        clock = Clock()
+        before = clock.now()
+        self.assertAlmostEqual(before, time.time(), delta=1.0)  # what started_ms is told on
+        with mock.patch("time.time", return_value=before - 3600.0):
+            after = clock.now()
+        self.assertTrue(before <= after < before + 60.0)
+
     async def test_who_reads_nothing_is_ended_before_it_fills_memory(self) -> None:
         """Seen by a transport that takes all and sends nothing; up to the bound nobody is ended."""
         transport = mock.Mock(spec=asyncio.Transport)
