A discovery that started over is followed again after one failed call

A version going back was refused on every later call too, so a manager would have heard of no drain until its restart; now the next call asks for the whole list (test fails without it). Harms where an old replica answers in turn: its older list is taken at the second call.

--- a/cottonladder/wire/discovery.py
+++ b/cottonladder/wire/discovery.py
@@ -111,7 +111,8 @@
         try:
             body = json.loads(text)
             if field(body, "version", int, "list") < self.version:
-                raise WireError(f"list: version {body['version']} after {self.version}")
+                held, self.version = self.version, 0  # it may have started over: the next call asks for all
+                raise WireError(f"list: version {body['version']} after {held}")
             version, listing = read_list(body, self._site, self._learn, "list")
         except (RecursionError, OverflowError) as exc:
             raise WireError(f"list: {exc}") from None
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -186,6 +186,16 @@
         await self.discovery.tell(gone)
         await program.logged("event=mode", "well>gone")
 
+    async def test_a_discovery_that_started_over_is_followed_again(self) -> None:
+        """A version that goes back is a failed call; the next one asks for all, or drains were unheard of."""
+        self.discovery.script = [raw(json.dumps(listing(7, entry("s-1", "Gone"))) + "\n")]
+        program = await self.serving()
+        await program.logged("discovery call failed", "version 7 after 41")
+        asked = [await soon(self.discovery.calls.get()) for _ in range(2)]
+        self.assertEqual([call.rpartition("after=")[2] for call in asked], ["41", "0"])
+        await self.discovery.tell(listing(7, entry("s-2"), full=True))
+        await program.logged("event=mode", "be 0 well>gone leaving: not listed")
+
     async def test_a_fault_in_reading_the_list_is_heard_of(self) -> None:
         def faulty(name: str, address: str, started: float) -> int:
             raise ZeroDivisionError
