Tidying: levels in force worked out in one place, joins heard in one; a test that raced mended

No behaviour changes in the program. Spread had the level in force in three variations, the walk in the tests repeated the owner's order of joins, Address named both an alias and a class, Discovery.follow asked twice whether a watch is open, a comment in the probes said the opposite of what happens to a report that can't be read. Tests use serving() where they had built the same by hand, and the datagram test now checks what is dropped. Seen once in six runs of the checks: a bad configuration's status read as 255. stop() signalled a program that had just ended by itself; the signal reaps it, and asyncio then finds no child. Such programs are now waited for, not signalled (ended()).

--- a/cottonladder/lifecycle/owner.py
+++ b/cottonladder/lifecycle/owner.py
@@ -91,12 +91,7 @@
             self.log.info("behind", what=what, ms=round(seconds * 1000, 1))
 
     def step(self, batch: list[it.Input]) -> None:
-        """One batch: joins and leaves are kept before the module sees them, so that orders meet them."""
-        for item in batch:
-            if isinstance(item, it.Joined):
-                self._spread.joined(item.proxy, item.fresh)
-            elif isinstance(item, it.Left):
-                self._spread.left(item.proxy)
+        self._spread.hear(batch)
         for order in self._ladder.decide(self._clock.now(), batch):
             carry = self._carry.get(type(order))
             if carry is not None:
--- a/cottonladder/lifecycle/placement.py
+++ b/cottonladder/lifecycle/placement.py
@@ -9,8 +9,7 @@
 from ..decisions import interface as it
 from ..state.workers import Workers
 from ..wire.discovery import read_list
-from ..wire.peers import Address
-from ..wire.terms import NUMBER, Site, WireError, address, field, read_site
+from ..wire.terms import NUMBER, HostPort, Site, WireError, address, field, read_site
 
 WHERE = "configuration"
 
@@ -20,13 +19,13 @@
     """Where this manager stands and what it starts from; `known` is the list as it was last held."""
 
     name: str
-    listen: Address
-    discovery: Address
+    listen: HostPort
+    discovery: HostPort
     sockets: int
     memory_mb: int
-    peer_listen: Address | None
-    peers: list[Address]
-    peers_all: Address | None
+    peer_listen: HostPort | None
+    peers: list[HostPort]
+    peers_all: HostPort | None
     site: Site
     workers: Workers
     version: int
--- a/cottonladder/state/spread.py
+++ b/cottonladder/state/spread.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from ..decisions import interface as it
@@ -50,6 +50,14 @@
         self._users: dict[int, dict[int, None]] = {}  # table -> proxies that read it, for any kind
         self._drafts: dict[int, list[Op]] = {}
 
+    def hear(self, batch: list[it.Input]) -> None:
+        """Joins and leaves of a batch; heard before the module sees it, so that its orders meet them."""
+        for item in batch:
+            if isinstance(item, it.Joined):
+                self.joined(item.proxy, item.fresh)
+            elif isinstance(item, it.Left):
+                self.left(item.proxy)
+
     def joined(self, proxy: int, fresh: bool) -> None:
         """Its tables are its own until it is bound.  What was on its way to its last stream may be lost,
         a line that let in too, so all that it was ever told to shut out is in doubt; a line for each."""
@@ -80,11 +88,8 @@
         drafts, self._drafts = self._drafts, {}
         encoded: dict[tuple[Op, ...], bytes] = {}
         for proxy, draft in drafts.items():
-            for k, (let_in, further) in self._everywhere.items():
-                level = self._level(self._bound[proxy][k], k, let_in, further)
-                gate: Op = ("gate", 1 << k, 0, *level)
-                if gate not in draft:  # levels for all go with every message
-                    draft.append(gate)
+            for k in self._everywhere:  # levels for all go with every message
+                draft += [gate for gate in self._gates(proxy, [k]) if gate not in draft]
             key = tuple(draft)
             if key not in encoded:
                 encoded[key] = self._encode(key)
@@ -101,10 +106,17 @@
     def _mask(self, proxy: int, table: int) -> int:
         return sum(1 << k for k, t in enumerate(self._bound[proxy]) if t == table)
 
-    def _level(self, table: int | None, k: int, let_in: float, further: int) -> tuple[float, int]:
-        """The lower level is in force, and the table's own way of trying further."""
-        own = self._tables[table].levels.get(k) if table is not None else None
-        return (min(own[0], let_in), own[1]) if own else (let_in, further)
+    def _gates(self, proxy: int, kinds: Iterable[int]) -> list[Op]:
+        """Levels in force for these kinds: the lower one of the table's and that for all, with the table's
+        own way of trying further.  Kinds alike go in one line."""
+        masks: dict[tuple[float, int], int] = {}
+        for k in kinds:
+            table, everywhere = self._bound[proxy][k], self._everywhere.get(k)
+            own = self._tables[table].levels.get(k) if table is not None else None
+            level = (min(own[0], everywhere[0]), own[1]) if own and everywhere else own or everywhere
+            if level:
+                masks[level] = masks.get(level, 0) | 1 << k
+        return [("gate", mask, 0, *level) for level, mask in masks.items()]
 
     def _let_in(self, proxy: int, be: int) -> list[Op]:
         """A line's worker as this manager has it: shut out, or let in where someone may have shut it out."""
@@ -145,9 +157,8 @@
         ops: list[Op] = [("replace", kinds, 0, 0.0, 0)]
         ops += [("row", kinds, be, weight, 0) for be, weight in table.lines.items()]
         for k in range(len(bound)):
-            if kinds >> k & 1 and (k in table.levels or k in self._everywhere):
-                level = self._level(o.table, k, *self._everywhere.get(k, table.levels.get(k, (1.0, 0))))
-                ops.append(("gate", 1 << k, 0, *level))
+            if kinds >> k & 1:
+                ops += self._gates(o.proxy, [k])
         for be in table.lines:
             if be in self._out:
                 self._told[o.proxy].out[be] = None  # told again with each bind, as its cost has it
@@ -172,13 +183,8 @@
         levels = self._everywhere if everywhere else self._tables.setdefault(o.table, Table()).levels
         levels.update(dict.fromkeys(kinds, (o.let_in, int(o.further))))
         for proxy in list(self._bound if everywhere else self._users.get(o.table, {})):
-            gates: dict[tuple[float, int], int] = {}
-            for k in kinds:
-                table = self._bound[proxy][k]
-                if o.table in (it.ALL_TABLES, table):
-                    level = self._level(table, k, *self._everywhere.get(k, (math.inf, int(o.further))))
-                    gates[level] = gates.get(level, 0) | 1 << k
-            self._draft(proxy, *(("gate", mask, 0, *level) for level, mask in gates.items()))
+            reads = [k for k in kinds if everywhere or self._bound[proxy][k] == o.table]
+            self._draft(proxy, *self._gates(proxy, reads))
 
     def _mark(self, o: it.Mark) -> None:
         for proxy in list(self._bound if o.everyone else self._drafts):
--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -89,7 +89,7 @@
         self.address.ear.post(cast(it.Input, said))
 
     def _own(self, said: m.Said) -> None:
-        node = cast(it.Answered | it.Ingress, said).proxy
+        node = cast(it.Answered, said).proxy
         if node != self.proxy:
             raise WireError(f"ACK: field node is {node} on the stream of {self.proxy}")
         self._report(said)
--- a/cottonladder/wire/discovery.py
+++ b/cottonladder/wire/discovery.py
@@ -11,7 +11,7 @@
 import structlog
 
 from ..decisions import interface as it
-from .terms import NUMBER, Site, WireError, address, field, seconds
+from .terms import NUMBER, HostPort, Site, WireError, address, field, seconds
 
 SILENCE = 3.0  # s without a byte: discovery writes at least an empty line each 2 s, and fails calls after 2 s
 LIST_MOST = 8 << 20  # bytes of one line or list: some 50,000 workers; more is refused as unreadable
@@ -49,7 +49,7 @@
     """Owns its session and at most one watch and one call for the list; calls are never piled up."""
 
     def __init__(
-        self, at: tuple[str, int], site: Site, learn: Learn, post: Callable[[it.Input], None], version: int
+        self, at: HostPort, site: Site, learn: Learn, post: Callable[[it.Input], None], version: int
     ) -> None:
         self._url = f"http://{at[0]}:{at[1]}/v1/servers"
         self._site, self._learn, self._post, self.version = site, learn, post, version
@@ -63,10 +63,9 @@
         )
 
     def follow(self, on: bool) -> None:
-        pending = self._watch is not None and not self._watch.done()
-        if pending and on and not self._answered:
-            return  # the call made is still under way: discovery takes calls one after another
-        if pending and self._watch is not None:
+        if self._watch is not None and not self._watch.done():
+            if on and not self._answered:
+                return  # the call made is still under way: discovery takes calls one after another
             self._watch.cancel()
         self._watch = asyncio.create_task(self._run(self._follow)) if on else None
 
--- a/cottonladder/wire/peers.py
+++ b/cottonladder/wire/peers.py
@@ -9,23 +9,23 @@
 import structlog
 
 from ..decisions import interface as it
+from .terms import HostPort
 
 DATAGRAM_MOST = 256  # bytes: the protocol's limit; a longer one voids the run
-Address = tuple[str, int]
 
 
 class Peers(asyncio.DatagramProtocol):
     """Owns the datagram socket; a sender is known by its address among the peers, all others are dropped."""
 
     def __init__(
-        self, me: int, peers: list[Address], everyone: Address | None, post: Callable[[it.Input], None]
+        self, me: int, peers: list[HostPort], everyone: HostPort | None, post: Callable[[it.Input], None]
     ) -> None:
         self._me, self._to, self._everyone, self._post = me, peers, everyone, post
         self._number = {address: n for n, address in enumerate(self._to)}
         self._transport: asyncio.DatagramTransport | None = None
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
 
-    async def listen(self, address: Address) -> None:
+    async def listen(self, address: HostPort) -> None:
         await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/cottonladder/wire/probes.py
+++ b/cottonladder/wire/probes.py
@@ -17,7 +17,7 @@
 
 
 def read_report(text: str) -> dict[str, float]:
-    """`TEXT inflight=7, queue=2` as figures by name; what can't be read is left out with the rest of it."""
+    """`TEXT inflight=7, queue=2` as figures by name."""
     report: dict[str, float] = {}
     for pair in text.removeprefix("TEXT").split(","):
         name, sign, value = pair.strip().partition("=")
@@ -54,7 +54,7 @@
                     done = reply.status == 200
                     report = read_report(body.decode()) if done else {}
             except (aiohttp.ClientError, TimeoutError, OSError, UnicodeDecodeError, WireError):
-                pass  # no answer, none in time or none that can be read: not done
+                pass  # no answer or none in time: not done; a report that can't be read is left out
             self._post(it.Probed(be, done, time.monotonic() - sent, report))
 
     async def close(self) -> None:
--- a/cottonladder/wire/terms.py
+++ b/cottonladder/wire/terms.py
@@ -13,6 +13,7 @@
 
 
 NUMBER = (int, float)
+HostPort = tuple[str, int]
 _MISSING = object()
 
 
@@ -35,7 +36,7 @@
     return float(value) / 1000.0
 
 
-def address(body: Any, name: str, where: str) -> tuple[str, int]:
+def address(body: Any, name: str, where: str) -> HostPort:
     """A field that holds host:port."""
     host, _, port = field(body, name, str, where).rpartition(":")
     if not host or not (port.isascii() and port.isdigit()) or int(port[:6]) > 65535:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -174,8 +174,11 @@
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
     async def stop(self) -> int:
-        if self.process.returncode is None:
-            self.process.send_signal(signal.SIGTERM)
+        """Only for one that runs: a signal to one that has just ended reaps it, and its status is lost."""
+        self.process.send_signal(signal.SIGTERM)
+        return await self.ended()
+
+    async def ended(self) -> int:
         status = await soon(self.process.wait())
         await soon(self.reading)
         shutil.rmtree(self.folder)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -24,6 +24,7 @@
 from cottonladder.state.roster import Roster
 from cottonladder.wire import address
 from cottonladder.wire.discovery import Discovery as WireDiscovery
+from cottonladder.wire.peers import Peers
 from cottonladder.wire.resp import MESSAGE_MOST, Reader
 from cottonladder.wire.terms import WireError, read_site
 from tests.standins import SETTINGS, Client, Discovery, Handler, Program, entry, host, listing, soon
@@ -98,9 +99,7 @@
         begun = time.monotonic()
         self.assertEqual(await program.stop(), 0)
         self.assertLess(time.monotonic() - begun, 5.0)
-        again = Program(self.at, **{**program.config, "listen": f"127.0.0.1:{program.port}"})
-        await again.serving()
-        self.addAsyncCleanup(self.end, again)
+        again = await self.serving(**{**program.config, "listen": f"127.0.0.1:{program.port}"})
         self.assertIn("replace 1 rows", await (await self.join(again, 3, cold=0)).hear())
 
     async def test_ping_in_pieces(self) -> None:
@@ -272,12 +271,14 @@
         self.assertEqual(await client.hear(), "PONG")
         one.close()
         stranger.close()
+        taken: list[it.Input] = []
+        peers_of_two = Peers(0, [("127.0.0.1", 1), ("127.0.0.1", 2)], None, taken.append)
+        for port, data in ((9, b"9"), (1, b"echo"), (2, b"\xff"), (2, b"1" * 257), (2, b"1" * 256)):
+            peers_of_two.datagram_received(data, ("127.0.0.1", port))
+        self.assertEqual(taken, [it.Hint(1, "1" * 256)])
 
     async def test_strangers_do_not_use_up_what_proxies_need(self) -> None:
-        program = Program(self.at)
-        program.config["limits"]["sockets"] = 128
-        await program.serving()
-        self.addAsyncCleanup(self.end, program)
+        program = await self.serving(limits={"memory_mb": 192, "sockets": 128})
         resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (128, 128))
         await asyncio.gather(*(self.connect(program) for _ in range(400)))
         for _ in range(400 - 128):
@@ -303,14 +304,13 @@
                 program = Program(self.at)
                 await program.start(text)
                 errors = (await soon(cast(asyncio.StreamReader, program.process.stderr).read())).decode()
-                self.assertEqual(await program.stop(), 2)
+                self.assertEqual(await program.ended(), 2)
                 self.assertEqual(errors.count("\n"), 1, errors)
                 self.assertIn(word, errors)
                 self.assertEqual(program.lines, [])
 
     async def test_a_fault_of_the_module_is_not_swallowed(self) -> None:
-        program = Program(self.at)
-        await program.serving()
+        program = await self.serving()
         placement = read_placement(str(program.folder / "config.json"))
         await program.stop()
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -159,11 +159,7 @@
         return [it.Answered(n % 12, self.draw.randrange(300), 0.2), it.Ingress(n % 12, n % 2, n, 0, 2.0)]
 
     def step(self, inputs: list[it.Input]) -> None:
-        for item in inputs:
-            if isinstance(item, it.Joined):
-                self.spread.joined(item.proxy, item.fresh)
-            elif isinstance(item, it.Left):
-                self.spread.left(item.proxy)
+        self.spread.hear(inputs)
         for order in self.ladder.decide(self.now, inputs):
             if isinstance(order, it.WakeIn):
                 self.token = order.token
