SIGHUP reads the configuration anew; a moved discovery is followed at once

Now: lifecycle/manager.Reload reads the file; a file with any fault is one line and nothing changes; discovery and limits change, other differences are named. Discovery.move asks the new address for the whole list at once, and the watch at the old one counts until the new one has answered. A list that never ends is given up after 5 s (found by a test: a watch's endless answer to a call for the list).

--- a/cottonladder/lifecycle/cli.py
+++ b/cottonladder/lifecycle/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 import sys
 from importlib import metadata
@@ -13,6 +14,7 @@
 from .. import __version__
 from ..wire.messages import PING, PONG
 from ..wire.terms import WireError, address
+from .manager import kept
 from .manager import serve as serve_manager
 from .placement import Placement, read_placement
 
@@ -38,7 +40,8 @@
 @main.command()
 @FILE
 def serve(path: str) -> None:
-    """Serve proxies until SIGTERM."""
+    """Serve proxies until SIGTERM; SIGHUP has the configuration read anew."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before the file is read there is nothing to read anew
     structlog.configure(
         processors=[
             structlog.processors.TimeStamper(fmt="iso"),
@@ -50,14 +53,18 @@
         cache_logger_on_first_use=True,
     )
     placement = _read(path)
-    asyncio.run(serve_manager(placement))
+    asyncio.run(serve_manager(placement, path))
 
 
 @main.command()
 @FILE
-def check(path: str) -> None:
-    """Read a configuration as serve does, and tell what it says."""
+@click.option("--running", default="", help="The configuration that a manager runs on, to reload over.")
+def check(path: str, running: str) -> None:
+    """Read a configuration as serve does, and tell what it says, or what a reload would not take of it."""
     placement = _read(path)
+    if running and (fixed := kept(_read(running), placement)):
+        click.echo(f"a reload would not change: {', '.join(fixed)}", err=True)
+        sys.exit(1)
     terms = placement.site.terms
     host, port = placement.listen
     click.echo(
--- a/cottonladder/lifecycle/manager.py
+++ b/cottonladder/lifecycle/manager.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 import structlog
 
@@ -17,8 +18,9 @@
 from ..wire.messages import Mouth
 from ..wire.peers import Peers
 from ..wire.probes import Probes
+from ..wire.terms import WireError
 from .owner import Hands, Inbox, Owner
-from .placement import Placement
+from .placement import Placement, read_placement
 
 KEPT = 24  # descriptors for log, loop, listener, discovery, datagrams and the like, with some to spare
 TURNS = 4  # of the loop from an accept to the closing of whoever is one too many
@@ -36,7 +38,42 @@
     return Shares(max(2 * terms.zones, left), accepts, probes, unread)
 
 
-async def serve(placement: Placement) -> None:
+FIXED = ("name", "listen", "peer_listen", "peers", "peers_all", "settings")  # hold until the program ends
+
+
+def kept(held: Placement, new: Placement) -> list[str]:
+    """Fields that the new configuration changes and a reload can't; a seed is for starts alone."""
+    site = replace(new.site, terms=replace(new.site.terms, seed=held.site.terms.seed))
+    pairs = {name: (getattr(held, name, held.site), getattr(new, name, site)) for name in FIXED}
+    return [name for name, (was, now) in pairs.items() if was != now]
+
+
+class Reload:
+    """Reads the file anew; the one place where what can change while running does.  A file with any fault is
+    not taken at all: what it lacks nobody can tell from what it means to change."""
+
+    def __init__(self, path: str, held: Placement, discovery: Discovery, address: Address) -> None:
+        self._path, self._held, self._discovery, self._address = path, held, discovery, address
+        self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
+
+    def __call__(self) -> None:
+        held = self._held
+        try:
+            new = read_placement(self._path)
+        except WireError as exc:
+            self.log.error("configuration not taken", why=str(exc))
+            return
+        if new.discovery != held.discovery:
+            self._discovery.move(new.discovery)
+        self._held = replace(
+            held, discovery=new.discovery, sockets=new.sockets, memory_mb=new.memory_mb
+        )
+        self._address.shares = shares(self._held)
+        fixed, (host, port) = ",".join(kept(held, new)) or "none", new.discovery
+        self.log.info("configuration taken", discovery=f"{host}:{port}", unchangeable=fixed)
+
+
+async def serve(placement: Placement, file: str) -> None:
     """Until SIGTERM or SIGINT; a fault of the module is raised from here."""
     log: structlog.stdlib.BoundLogger = structlog.get_logger()
     site, workers, inbox, limits = placement.site, placement.workers, Inbox(), shares(placement)
@@ -62,6 +99,8 @@
         stack.push_async_callback(address.close)
         port = await address.listen(*placement.listen)
         log.info("serving", name=placement.name, host=placement.listen[0], port=port)
+        reload = Reload(file, placement, discovery, address)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
         running = asyncio.create_task(owner.run())
         stopping = asyncio.create_task(stop.wait())
         await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
--- a/cottonladder/wire/discovery.py
+++ b/cottonladder/wire/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -14,6 +15,7 @@
 from .terms import NUMBER, HostPort, Site, WireError, address, field, seconds
 
 SILENCE = 3.0  # s without a byte: discovery writes at least an empty line each 2 s, and fails calls after 2 s
+CALL_WAIT = 5.0  # s for the whole list, which must end: the wait in turn that discovery allows, and its way
 LIST_MOST = 8 << 20  # bytes of one line or list: some 50,000 workers; more is refused as unreadable
 ID_MOST = 255  # characters of a worker's id: far above any seen, and a line stays short
 MODES = {"Ready": it.Mode.READY, "Terminating": it.Mode.DRAINING, "Gone": it.Mode.GONE}
@@ -45,62 +47,127 @@
     return version, it.Listing(it.News.FULL if full else it.News.DELTA, entries)
 
 
+@dataclass(eq=False, slots=True)
+class Watch:
+    """One call for changes, at the address that held when it was made; `answered`: it brought something."""
+
+    url: str
+    answered: bool = False
+    task: asyncio.Task[None] | None = None
+
+    def running(self) -> bool:
+        return self.task is not None and not self.task.done()
+
+    def cancel(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+
 class Discovery:
-    """Owns its session and at most one watch and one call for the list; calls are never piled up."""
+    """Owns its session and at most one watch and one call for the list; calls are never piled up.  After a
+    move the watch at the former address counts on until the new one has answered, so that no gap opens."""
 
     def __init__(
         self, at: HostPort, site: Site, learn: Learn, post: Callable[[it.Input], None], version: int
     ) -> None:
-        self._url = f"http://{at[0]}:{at[1]}/v1/servers"
+        self._url = _url(at)
         self._site, self._learn, self._post, self.version = site, learn, post, version
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
-        self._watch: asyncio.Task[None] | None = None
+        self._watch: Watch | None = None
+        self._former: Watch | None = None
         self._call: asyncio.Task[None] | None = None
-        self._answered = False  # the open watch has brought something
+        self._whole = False  # the next call asks for the whole list first
         quiet = aiohttp.ClientTimeout(total=None, sock_connect=SILENCE, sock_read=SILENCE)
         self._session = aiohttp.ClientSession(
             timeout=quiet, connector=aiohttp.TCPConnector(force_close=True, limit=4)
         )
 
     def follow(self, on: bool) -> None:
-        if self._watch is not None and not self._watch.done():
-            if on and not self._answered:
+        if self._watch is not None and self._watch.running():
+            if on and not self._watch.answered:
                 return  # the call made is still under way: discovery takes calls one after another
             self._watch.cancel()
-        self._watch = asyncio.create_task(self._run(self._follow)) if on else None
+        self._watch = self._open() if on else None
+        if not on:
+            self._let_go()
 
     def fetch(self) -> None:
         if self._call is None or self._call.done():
-            self._call = asyncio.create_task(self._run(self._fetch))
-
-    async def _run(self, call: Callable[[], Awaitable[None]]) -> None:
+            self._call = asyncio.create_task(self._run(self._fetch(self._url)))
+
+    def move(self, at: HostPort) -> None:
+        """Discovery stands elsewhere now: asked at once, and for the whole list, as nobody says that the new
+        one counts its versions as the old one did.  Guards against a list that stands still when the old one
+        closes; harms nobody but for one list more."""
+        self._url, self._whole = _url(at), True
+        if self._call is not None:
+            self._call.cancel()
+        if self._watch is not None:
+            if self._watch.running() and self._watch.answered:
+                self._let_go()
+                self._former = self._watch
+            else:
+                self._watch.cancel()
+            self._watch = self._open()
+
+    def _let_go(self) -> None:
+        if self._former is not None:
+            self._former.cancel()
+            self._former = None
+
+    def _open(self) -> Watch:
+        watch = Watch(self._url)
+        watch.task = asyncio.create_task(self._run(self._follow(watch), watch))
+        return watch
+
+    async def _run(self, call: Awaitable[None], watch: Watch | None = None) -> None:
         try:
-            return await call()
+            return await call
         except (aiohttp.ClientError, TimeoutError, OSError, WireError) as exc:
             self.log.info("discovery call failed", why=str(exc) or type(exc).__name__)
         except Exception:  # a fault of ours: unheard, the module would think that it follows
             self.log.exception("discovery call failed", why="a fault of this program")
-        self._post(it.Listing(it.News.FAILED, ()))
-
-    async def _fetch(self) -> None:
-        async with self._session.get(self._url) as reply:
+        if watch is None or watch is not self._former:
+            self._post(it.Listing(it.News.FAILED, ()))
+        else:
+            self._former = None
+            self._still_failed()
+
+    def _still_failed(self) -> None:
+        """What the former address says would hide from the module that the new one is yet to be followed."""
+        if self._watch is None or not self._watch.running():
+            self._post(it.Listing(it.News.FAILED, ()))
+
+    async def _fetch(self, url: str) -> None:
+        once = aiohttp.ClientTimeout(total=CALL_WAIT, sock_connect=SILENCE, sock_read=SILENCE)
+        async with self._session.get(url, timeout=once) as reply:
             self._expect(reply)
             text = b"".join([line async for line in _lines(reply, LIST_MOST, b"")])
             self._take(text)
 
-    async def _follow(self) -> None:
-        self._answered = False
+    async def _follow(self, watch: Watch) -> None:
+        if self._whole:
+            await self._fetch(watch.url)
+            self._whole = False
+            self._heard(watch)
         query = {"watch": "1", "after": str(self.version)}
-        async with self._session.get(self._url, params=query) as reply:
+        async with self._session.get(watch.url, params=query) as reply:
             self._expect(reply)
             async for line in _lines(reply, LIST_MOST, b"\n"):
                 if line.strip():
                     self._take(line)
-                elif not self._answered:  # nothing has changed: the call is answered all the same
+                elif not watch.answered:  # nothing has changed: the call is answered all the same
                     self._post(it.Listing(it.News.DELTA, ()))
-                self._answered = True
+                self._heard(watch)
         raise WireError("watch: ended by discovery")
 
+    def _heard(self, watch: Watch) -> None:
+        watch.answered = True
+        if watch is self._watch:
+            self._let_go()
+        elif watch is self._former:
+            self._still_failed()
+
     @staticmethod
     def _expect(reply: aiohttp.ClientResponse) -> None:
         if reply.status != 200:
@@ -110,7 +177,7 @@
         try:
             body = json.loads(text)
             if field(body, "version", int, "list") < self.version:
-                held, self.version = self.version, 0  # it may have started over: the next call asks for all
+                held, self.version, self._whole = self.version, 0, True  # it may have started over
                 raise WireError(f"list: version {body['version']} after {held}")
             version, listing = read_list(body, self._site, self._learn, "list")
         except (RecursionError, OverflowError) as exc:
@@ -121,13 +188,18 @@
         self._post(listing)
 
     async def close(self) -> None:
-        tasks = [task for task in (self._watch, self._call) if task is not None]
+        calls = [watch.task for watch in (self._watch, self._former) if watch is not None]
+        tasks = [task for task in (*calls, self._call) if task is not None]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._session.close()
 
 
+def _url(at: HostPort) -> str:
+    return f"http://{at[0]}:{at[1]}/v1/servers"
+
+
 async def _lines(reply: aiohttp.ClientResponse, most: int, end: bytes) -> AsyncIterator[bytes]:
     """Whole lines, or with no end given all of it; a rest that was cut off is an error, not a line."""
     rest = bytearray()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -173,6 +173,11 @@
     async def connect(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
+    def reload(self, text: str | None = None, **changes: Any) -> None:
+        self.config.update(changes)
+        (self.folder / "config.json").write_text(json.dumps(self.config) if text is None else text)
+        self.process.send_signal(signal.SIGHUP)
+
     async def stop(self) -> int:
         """Only for one that runs: a signal to one that has just ended reaps it, and its status is lost."""
         self.process.send_signal(signal.SIGTERM)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -169,14 +169,15 @@
             "status 503": raw("", 503),
             "not JSON": raw('{"version":42,\n'),
             "cut off": raw(json.dumps(gone)),
-            "version 40 after 41": raw(json.dumps(listing(40)) + "\n"),
             "state has an unknown value": raw(json.dumps(listing(42, entry("s-1", "Gone"), odd)) + "\n"),
             "field addr": raw(json.dumps(listing(42, entry("s-1", "Gone"), entry("s-4", addr="x:y"))) + "\n"),
             "recursion": raw("[" * 100_000 + "\n"),
             "float": raw(json.dumps(listing(42, entry("s-4", weight=10**400))) + "\n"),
             "ended by discovery": raw(json.dumps(listing(42)) + "\n"),
+            "version 40 after 42": raw(json.dumps(listing(40)) + "\n"),
         }  # fmt: skip
-        self.discovery.script = list(bad.values())
+        whole = raw(json.dumps(listing(42, entry("s-1"), entry("s-2"), full=True)))
+        self.discovery.script = [*bad.values(), whole]
         settings = {"Rules": {**SETTINGS["Rules"], "AskWithinMs": 100.0}}
         program = await self.serving(settings=settings)
         for words in bad:
@@ -187,14 +188,59 @@
 
     async def test_a_discovery_that_started_over_is_followed_again(self) -> None:
         """A version that goes back is a failed call; the next one asks for all, or drains were unheard of."""
-        self.discovery.script = [raw(json.dumps(listing(7, entry("s-1", "Gone"))) + "\n")]
+        whole = raw(json.dumps(listing(7, entry("s-2"), full=True)))
+        self.discovery.script = [raw(json.dumps(listing(7, entry("s-1", "Gone"))) + "\n"), whole]
         program = await self.serving()
         await program.logged("discovery call failed", "version 7 after 41")
         asked = [await soon(self.discovery.calls.get()) for _ in range(2)]
-        self.assertEqual([call.rpartition("after=")[2] for call in asked], ["41", "0"])
-        await self.discovery.tell(listing(7, entry("s-2"), full=True))
+        self.assertEqual([call.rpartition("after=")[2] for call in asked], ["41", "/v1/servers"])
         await program.logged("event=mode", "be 0 well>gone leaving: not listed")
 
+    async def test_a_moved_discovery_is_followed_at_once(self) -> None:
+        """Asked for the whole list; the old one counts until the new one has answered, and no longer."""
+        settings = {"Rules": {**SETTINGS["Rules"], "AskWithinMs": 100.0}}
+        program = await self.serving(settings=settings)
+        self.assertIn("after=41", await soon(self.discovery.calls.get()))
+        new, ready = Discovery(), asyncio.Event()
+
+        async def whole(request: web.BaseRequest) -> web.StreamResponse:
+            await soon(ready.wait())
+            return await raw(json.dumps(listing(43, entry("s-2"), entry("s-3"), full=True)))(request)
+
+        new.script = [raw("", 503), whole]
+        program.reload(discovery=await self.host(new.handle))
+        await program.logged("configuration taken", "unchangeable=none")
+        await program.logged("discovery call failed", "503")
+        await self.discovery.tell(listing(42, entry("s-1", "Gone")))
+        await program.logged("be 0 well>gone leaving: gone")
+        self.assertEqual([await soon(new.calls.get()) for _ in range(2)], ["/v1/servers"] * 2)
+        ready.set()
+        self.assertIn("watch=1&after=43", await soon(new.calls.get()))
+        with suppress(ConnectionError):
+            await self.discovery.tell(listing(99, entry("s-2", "Gone")))
+        await new.tell(listing(44, entry("s-3", "Terminating")))
+        await program.logged("be 2 ", "gone leaving: draining")
+        self.assertFalse([line for line in program.lines if "be 1 " in line])
+
+    async def test_a_configuration_that_a_reload_can_not_take(self) -> None:
+        """One line each, and the manager goes on with what it had; SIGHUP may follow the first answer."""
+        program = Program(self.at)
+        await program.start()
+        self.addAsyncCleanup(self.end, program)
+        program.port = int((await program.logged("event=serving")).split("port=")[1])
+        whole, moved = json.dumps(program.config), {"discovery": "127.0.0.1:9"}
+        lacks = json.dumps({k: v for k, v in {**program.config, **moved}.items() if k != "known"})
+        for text, why in (("", "JSON"), (whole[:90], "JSON"), (lacks, "field known"), ("[]", "object")):
+            program.reload(text)
+            await program.logged("configuration not taken", why)
+        program.reload(name="other", listen="127.0.0.1:1", seed="1f")
+        await program.logged("configuration taken", f"discovery={self.at}", "unchangeable=name,listen")
+        (program.folder / "config.json").unlink()
+        program.process.send_signal(signal.SIGHUP)
+        await program.logged("configuration not taken", "No such file")
+        client = await self.connect(program, "PING")
+        self.assertEqual(await client.hear(), "PONG")
+
     async def test_a_fault_in_reading_the_list_is_heard_of(self) -> None:
         def faulty(name: str, address: str, started: float) -> int:
             raise ZeroDivisionError
@@ -322,8 +368,8 @@
 
         loop = asyncio.get_running_loop()
         with mock.patch.object(manager, "Ladder", Faulty), self.assertRaises(ZeroDivisionError):
-            await soon(manager.serve(placement))
-        for number in (signal.SIGTERM, signal.SIGINT):
+            await soon(manager.serve(placement, ""))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.remove_signal_handler(number)
 
     async def test_a_long_message_is_refused_before_it_is_taken(self) -> None:
