--- a/cottonladder/lifecycle/manager.py
+++ b/cottonladder/lifecycle/manager.py
@@ -22,18 +22,18 @@
 from .owner import Hands, Inbox, Owner
 from .placement import Placement, read_placement
 
-KEPT = 24  # descriptors for log, loop, listener, discovery, datagrams and the like, with some to spare
+KEPT = 20  # descriptors for log, loop, listener, discovery, datagrams and the like, with some to spare
 TURNS = 4  # of the loop from an accept to the closing of whoever is one too many
 
 
 def shares(placement: Placement) -> Shares:
-    """Proxies' streams come first; accepts in flight and probes get a part of the descriptors, strangers and
-    collectors what is left; what proxies leave unread may hold a quarter of the memory, over all of them."""
+    """Accepts in flight and probes get a part of the descriptors, connections what is left, strangers only
+    what nobody who joined needs; what proxies leave unread may hold a quarter of the memory, over all."""
     terms, sockets = placement.site.terms, placement.sockets
     most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)  # the system may allow less
     sockets = sockets if most == resource.RLIM_INFINITY else min(sockets, most)
-    accepts, probes = min(128, max(4, sockets // 32)), min(64, max(4, sockets // 16))
-    left = sockets - KEPT - TURNS * accepts - probes - terms.proxies
+    accepts, probes = min(64, max(2, sockets // 64)), min(64, max(4, sockets // 16))
+    left = sockets - KEPT - TURNS * accepts - probes
     unread = (placement.memory_mb << 20) // (4 * max(1, terms.proxies))
     return Shares(max(2 * terms.zones, left), accepts, probes, unread)
 
--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, cast
@@ -15,8 +16,12 @@
 from .resp import MESSAGE_MOST, Reader
 from .terms import WireError
 
-QUEUE = 512  # connections that the kernel holds until they are accepted: all proxies may dial at once
+QUEUE = 1024  # connections that the kernel holds until they are accepted: all may dial at once, or a flood
 FIRST_MOST = 4096  # bytes of a message from who has not yet said who they are: the first ones are short
+JOIN_WAIT, SWEEP = 1.0, 0.25  # s: to say who one is, of the 3 that a stranger may be kept; between sweeps
+COLLECTORS_MOST = 4  # of a zone, which has one: a new one may come before the last is seen to end
+OLD_WAIT = 5.0  # s: for the end of a stream whose place was taken; one that went silent never tells
+SUM_UP, WHYS_MOST = 10.0, 64  # s between two lines of one kind of fault; kinds kept apart meanwhile
 NEW, COLLECTOR, STREAM, OLD = "new", "collector", "stream", "old"  # OLD: another stream took its place
 
 
@@ -31,7 +36,7 @@
 class Connection(asyncio.Protocol):
     def __init__(self, address: Address) -> None:
         self.address, self.reader, self.state = address, Reader(FIRST_MOST), NEW
-        self.proxy, self.peer, self.why = -1, "", ""
+        self.proxy, self.zone, self.peer, self.why, self.heard = -1, -1, "", "", 0.0
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -41,19 +46,32 @@
         self.address.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.state != STREAM:
-            self.address.spare(self)
+        """Two kinds of fault: bytes that can't be framed end a connection, as does anything wrong before it
+        has joined; a whole message that makes no sense is left out and the stream lives, since a proxy whose
+        stream is ended here keeps its time limits.  Harms where a party spoils all it says: it stays joined,
+        and only the summed lines tell of it."""
+        self.heard = time.monotonic()
         try:
             for words in self.reader.feed(data):
-                said = self.address.mouth.read(words)
-                step = STEPS.get((self.state, type(said)))
-                if step is None:
-                    kind = words[0][:32].decode("ascii", errors="replace")
-                    raise WireError(f"{kind}: not on a connection that is {self.state}")
-                step(self, said)
+                if self._transport is None or self._transport.is_closing():
+                    return
+                try:
+                    self._hear(words)
+                except WireError as exc:
+                    if self.state == NEW:
+                        raise
+                    self.address.faults.note("message left out", str(exc), self)
         except WireError as exc:
             self.end(str(exc))
 
+    def _hear(self, words: list[bytes]) -> None:
+        said = self.address.mouth.read(words)
+        step = STEPS.get((self.state, type(said)))
+        if step is None:
+            kind = words[0][:32].decode("ascii", errors="replace")
+            raise WireError(f"{kind}: not on a connection that is {self.state}")
+        step(self, said)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.address.ended(self, self.why or (str(exc) if exc else "ended by the other side"))
 
@@ -76,7 +94,7 @@
         self.send(m.PONG)
 
     def _source(self, said: m.Said) -> None:
-        self.state, self.reader.most = COLLECTOR, MESSAGE_MOST
+        self.state, self.zone, self.reader.most = COLLECTOR, cast(m.Source, said).zone, MESSAGE_MOST
         self.address.named(self, "collector")
 
     def _subscribe(self, said: m.Said) -> None:
@@ -89,9 +107,8 @@
         self.address.ear.post(cast(it.Input, said))
 
     def _own(self, said: m.Said) -> None:
-        node = cast(it.Answered, said).proxy
-        if node != self.proxy:
-            raise WireError(f"ACK: field node is {node} on the stream of {self.proxy}")
+        if cast(it.Answered | it.Ingress, said).proxy != self.proxy:
+            raise WireError("ACK or RATE: field node is another's than the stream's")
         self._report(said)
 
     def _nothing(self, said: m.Said) -> None:
@@ -104,9 +121,9 @@
     (NEW, m.Source): Connection._source,
     (NEW, it.Joined): Connection._subscribe,
     **{(state, it.Tally): Connection._report for state in (COLLECTOR, STREAM)},
-    **{(state, it.Ingress): Connection._report for state in (COLLECTOR, STREAM)},
+    (COLLECTOR, it.Ingress): Connection._report,
+    **{(STREAM, said): Connection._own for said in (it.Answered, it.Ingress)},
     **{(state, m.Unlisted): Connection._nothing for state in (COLLECTOR, STREAM, OLD)},
-    (STREAM, it.Answered): Connection._own,
     **{(OLD, said): Connection._nothing for said in (it.Tally, it.Ingress, it.Answered)},
 }
 
@@ -115,24 +132,49 @@
 class Shares:
     """What the machine's limits leave for each use; see lifecycle/manager."""
 
-    spare: int  # connections open beside proxies' streams
+    connections: int  # accepted and open at once
     accepts: int  # connections accepted at once
     probes: int  # probes open at once
     unread: int  # bytes that one proxy may leave unread here
 
 
+class Faults:
+    """Log lines of what strangers and spoilt messages cause: of each kind one at once, then their sum."""
+
+    def __init__(self) -> None:
+        self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
+        self._count: dict[tuple[str, str], int] = {}
+        self._since = 0.0
+
+    def note(self, what: str, why: str, c: Connection) -> None:
+        key = (what, why if (what, why) in self._count or len(self._count) < WHYS_MOST else "others")
+        self._count[key] = self._count.get(key, -1) + 1
+        if self._count[key] == 0:
+            self.log.info(what, peer=c.peer, state=c.state, proxy=c.proxy, why=key[1])
+
+    def sum_up(self, now: float) -> None:
+        if now - self._since >= SUM_UP:
+            for (what, why), more in self._count.items():
+                if more:
+                    self.log.info(what, more=more, why=why)
+            self._since, self._count = now, {}
+
+
 class Address:
-    """Listens, and bounds what may stay open: of all connections that are no proxy's stream in force, the one
-    that has been silent longest is ended when there are too many, so that strangers, half-open collectors and
-    streams whose place was taken never use up what proxies need.  Harms a collector that is silent for long
-    while strangers come in hundreds; it connects again."""
+    """Listens, and bounds what may stay open.  Who has not joined within `JOIN_WAIT` is closed by one sweep;
+    where descriptors run out, strangers make room, the one that came first before others, then streams whose
+    place was taken; nobody who joined does.  Harms a proxy that joins later than it dials: it dials again."""
 
     def __init__(self, mouth: m.Mouth, ear: Ear, shares: Shares) -> None:
-        self.mouth, self.ear, self.shares = mouth, ear, shares
+        self.mouth, self.ear, self.shares, self.faults = mouth, ear, shares, Faults()
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
         self._open: dict[Connection, None] = {}
-        self._spare: dict[Connection, None] = {}  # silent longest first
+        self._new: dict[Connection, float] = {}  # when they came, first first
+        self._old: dict[Connection, float] = {}  # since when
+        self._collectors: dict[int, list[Connection]] = {}  # by zone
+        self._late: list[Connection] = []  # had not joined by the last sweep
         self._server: asyncio.Server | None = None
+        self._timer: asyncio.TimerHandle | None = None
 
     async def listen(self, host: str, port: int) -> int:
         """asyncio accepts as many at once as its backlog says: a small one; the kernel's is set after it."""
@@ -141,37 +183,65 @@
             lambda: Connection(self), sock=listener, backlog=self.shares.accepts
         )
         listener.listen(QUEUE)
+        self._sweep()
         return int(listener.getsockname()[1])
 
+    def _sweep(self) -> None:
+        """Ends who was late at the last sweep already: between two of them the loop has read what had come,
+        so a join that a late loop left unread is not cut."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        for c in self._late:
+            if c.state == NEW:
+                c.end("has not joined in time")
+        self._late = [c for c, came in self._new.items() if now - came >= JOIN_WAIT]
+        for c in [c for c, since in self._old.items() if now - since >= OLD_WAIT]:
+            c.end("another stream of this proxy came")
+        self.faults.sum_up(now)
+        self._timer = loop.call_later(SWEEP, self._sweep)
+
     def opened(self, c: Connection) -> None:
         self._open[c] = None
-        self.spare(c)
+        self._new[c] = asyncio.get_running_loop().time()
+        if len(self._open) > self.shares.connections:
+            first = next(iter(self._new)) if len(self._new) > 1 else next(iter(self._old), c)
+            self._forget(first)  # at once, as the end of a connection is seen a turn of the loop later
+            first.end("too many connections")
+
+    def _forget(self, c: Connection) -> None:
+        self._open.pop(c, None)
+        self._new.pop(c, None)
+        self._old.pop(c, None)
 
     def named(self, c: Connection, who: str) -> None:
-        if c.state == STREAM:
-            self._spare.pop(c, None)
+        self._new.pop(c, None)
+        if c.state == COLLECTOR:
+            others = self._collectors.setdefault(c.zone, [])
+            others.append(c)
+            if len(others) > COLLECTORS_MOST:
+                silent = min(others, key=lambda other: other.heard)
+                others.remove(silent)
+                silent.end("other collectors of its zone came")
         self.log.info("connection opened", peer=c.peer, who=who)
 
     def superseded(self, c: Connection) -> None:
         c.state = OLD
-        self.spare(c)
-
-    def spare(self, c: Connection) -> None:
-        self._spare.pop(c, None)
-        self._spare[c] = None
-        if len(self._spare) > self.shares.spare:
-            silent = next(iter(self._spare))
-            del self._spare[silent]
-            silent.end("too many connections that are no proxy's stream")
+        self._old[c] = asyncio.get_running_loop().time()
 
     def ended(self, c: Connection, why: str) -> None:
-        self._open.pop(c, None)
-        self._spare.pop(c, None)
+        self._forget(c)
+        if c in (others := self._collectors.get(c.zone, [])):
+            others.remove(c)
         if c.state == STREAM:
             self.ear.left(c)
-        self.log.info("connection ended", peer=c.peer, state=c.state, proxy=c.proxy, why=why)
+        if c.state == NEW:
+            self.faults.note("connection ended", why, c)
+        else:
+            self.log.info("connection ended", peer=c.peer, state=c.state, proxy=c.proxy, why=why)
 
     async def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
         if self._server is not None:
             self._server.close()
         for c in list(self._open):
--- a/cottonladder/wire/messages.py
+++ b/cottonladder/wire/messages.py
@@ -67,6 +67,21 @@
     def figure(self, name: str) -> float:
         return figure(self.word(name), f"{self.kind}: field {name}")
 
+    def flag(self, name: str) -> bool:
+        word = self.word(name)
+        if word not in (b"0", b"1"):
+            raise WireError(f"{self.kind}: field {name} is not 1 or 0")
+        return word == b"1"
+
+    def span(self, total: int, errors: int) -> float:
+        """Seconds that sums cover; what can't be of any such sums is refused with them."""
+        span = self.figure("interval") / 1000.0
+        if errors > total:
+            raise WireError(f"{self.kind}: field errors is more than total")
+        if span <= 0 < total:
+            raise WireError(f"{self.kind}: field interval is none, with a total of {total}")
+        return span
+
     def metrics(self, name: str) -> dict[str, float]:
         pairs = [pair.rpartition(b":") for pair in self.values.get(name.encode(), b"").split(b",") if pair]
         where = f"{self.kind}: field {name}"
@@ -94,6 +109,8 @@
         self.site, self.find = site, find
 
     def read(self, words: list[bytes]) -> Said:
+        if not words:
+            raise WireError("message: an array without words")
         reader = KINDS.get(words[0])
         if reader is None:
             raise WireError(f"{_shown(words[0])}: unknown kind of message")
@@ -114,21 +131,20 @@
     def _load(self, f: Fields) -> Said:
         zone, be = self._zone(f), self.find(f.word("endpoint"))
         total, errors = f.count("total"), f.count("errors")
-        span, report = f.figure("interval") / 1000.0, f.metrics("metrics")
+        span, report = f.span(total, errors), f.metrics("metrics")
         took = f.figure("rtt") / 1000.0 if total > errors or b"rtt" in f.values else 0.0
         return Unlisted() if be is None else it.Tally(be, zone, total, errors, span, took, report)
 
     def _subscribe(self, f: Fields) -> Said:
-        return it.Joined(self._node(f), self._zone(f), f.figure("w"), f.count("cold") > 0)
+        return it.Joined(self._node(f), self._zone(f), f.figure("w"), f.flag("cold"))
 
     def _ack(self, f: Fields) -> Said:
         return it.Answered(self._node(f), f.count("nonce"), f.figure("latency") / 1000.0)
 
     def _rate(self, f: Fields) -> Said:
         kind = self.site.kind(f.text("route"), f"{f.kind}: field route")
-        return it.Ingress(
-            self._node(f), kind, f.count("total"), f.count("errors"), f.figure("interval") / 1000.0
-        )
+        reqs, errors = f.count("total"), f.count("errors")
+        return it.Ingress(self._node(f), kind, reqs, errors, f.span(reqs, errors))
 
 
 KINDS: dict[bytes, Callable[[Mouth, Fields], Said]] = {
--- a/cottonladder/wire/resp.py
+++ b/cottonladder/wire/resp.py
@@ -12,7 +12,8 @@
 
 
 class Reader:
-    """Keeps only the unfinished rest of one connection's bytes; a bad head ends it before memory is taken."""
+    """Keeps only the unfinished rest of one connection's bytes; a bad head is refused before memory is taken.
+    What it raises is a fault of framing: after it no message can be told from the next."""
 
     def __init__(self, most: int) -> None:
         self.most = most  # bytes of one message
@@ -33,9 +34,9 @@
                     return
                 if not self._missing:
                     self._missing = self._head(rest[at:end], b"*", WORDS_MOST)
-                    if not self._missing:
-                        raise WireError("message: an array without words")
                     self._words, self._size, at = [], 0, end + 2
+                    if not self._missing:
+                        yield self._words  # whole, so the next one can be told from it, but it says nothing
                     continue
                 length = self._head(rest[at:end], b"$", self.most - self._size)
                 stop = end + 2 + length
