--- a/cottonladder/wire/messages.py
+++ b/cottonladder/wire/messages.py
@@ -73,11 +73,9 @@
             raise WireError(f"{self.kind}: field {name} is not 1 or 0")
         return word == b"1"
 
-    def span(self, total: int, errors: int) -> float:
-        """Seconds that sums cover; what can't be of any such sums is refused with them."""
+    def span(self, total: int) -> float:
+        """Seconds that sums cover; none can't be, where something was counted."""
         span = self.figure("interval") / 1000.0
-        if errors > total:
-            raise WireError(f"{self.kind}: field errors is more than total")
         if span <= 0 < total:
             raise WireError(f"{self.kind}: field interval is none, with a total of {total}")
         return span
@@ -131,7 +129,9 @@
     def _load(self, f: Fields) -> Said:
         zone, be = self._zone(f), self.find(f.word("endpoint"))
         total, errors = f.count("total"), f.count("errors")
-        span, report = f.span(total, errors), f.metrics("metrics")
+        if errors > total:
+            raise WireError(f"{f.kind}: field errors is more than total")
+        span, report = f.span(total), f.metrics("metrics")
         took = f.figure("rtt") / 1000.0 if total > errors or b"rtt" in f.values else 0.0
         return Unlisted() if be is None else it.Tally(be, zone, total, errors, span, took, report)
 
@@ -143,8 +143,8 @@
 
     def _rate(self, f: Fields) -> Said:
         kind = self.site.kind(f.text("route"), f"{f.kind}: field route")
-        reqs, errors = f.count("total"), f.count("errors")
-        return it.Ingress(self._node(f), kind, reqs, errors, f.span(reqs, errors))
+        reqs, errors = f.count("total"), f.count("errors")  # of those, some came before the interval
+        return it.Ingress(self._node(f), kind, reqs, errors, f.span(reqs))
 
 
 KINDS: dict[bytes, Callable[[Mouth, Fields], Said]] = {
