Sums that can't be are not believed; a worker that is long gone is forgotten

Ruled out: lost streams (16 ended, all bound again at the next beat), the framing, late sums. Lines at fault: rules._tally and _ingress, which believed any figure. Now likely() bounds sums by what the proxies joined with, times by the target. Zone demand is told to others only from such sums.

The module forgets who is long gone (Forget), Spread and Workers with it; indices are never used again.

Simulated servers.

--- a/cottonladder/decisions/interface.py
+++ b/cottonladder/decisions/interface.py
@@ -260,11 +260,19 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """A backend that is gone: nothing more will be ordered of it, and what is kept for it may go."""
+
+    be: int
+
+
 @dataclass(frozen=True, slots=True)
 class Remark:
     text: str
 
 
 Order = (
-    SetLine | Empty | Bind | Cordon | Level | Mark | Follow | FetchList | Probe | Tell | WakeIn | Remark
+    SetLine | Empty | Bind | Cordon | Level | Mark | Follow | FetchList | Probe | Tell | WakeIn
+    | Forget | Remark
 )
--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -1,8 +1,7 @@
-"""The decisions of one manager: the module that is ported by hand.
+"""The decisions of one manager, a module to be ported by hand; its types stand in `interface.py`.
 
-A front makes a `Ladder` from a start's `Terms`, calls `decide(now, inputs)` for each batch and carries out
-the orders in turn; types stand in `interface.py` beside this file.  Each interval a min-cost flow from proxy
-zones to server groups (a zone's servers) is solved; its shares become one table a zone.  Beside the design:
+A front makes a `Ladder` and carries out what `decide` orders.  Each interval a min-cost flow from proxy zones
+to groups (a zone's servers) makes a table for each zone.  Beside the design:
 1. the order gate: a ledger of lines by answers; rule-bearing orders first, deltas in pieces that fit;
 2. the server lifecycle: silent servers are shut out and come back in small, cold ones are eased in;
 3. slowness: a server's estimate falls with its response time and errors against the fleet's;
@@ -36,10 +35,11 @@
 COLD_CALM, COLD_YOUNG, BLIND_BEATS = 12.0, 0.75, 16  # if avoiding: 1/errors, part of capacity; no sums yet
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
-LEVEL_FLOOR, LEVEL_LEAST = 0.4, 0.1  # least of what is let in, of all and of a kind
+LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
 CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
 DEMAND_SPAN, TOLD_FOR, MARKS_MOST = 4.0, 3, 256  # s of counts kept whole; intervals a word counts; unanswered
 ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 16.0  # of the lines that may wait; until answers come
+NEVER_OVER, SPAN_MOST, RATE_MOST = 8.0, 120.0, 1e5  # times the usual, s, reqs/s: over these nothing can be
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
 
@@ -54,8 +54,7 @@
         self.lost, self.held, self.planned, self.cordoned = 0, -1.0, 0.0, False  # probes, reqs, reqs/s
 
     def add(self, took: float, tries: float) -> None:
-        place = int(math.log(max(took / self.least, 1.0), BIN_STEP))
-        self.bins[min(place, BINS - 1)] += tries
+        self.bins[min(int(math.log(max(took / self.least, 1.0), BIN_STEP)), BINS - 1)] += tries
 
     def mean(self) -> float:  # geometric; 0 where too little was heard
         total = sum(self.bins)
@@ -90,14 +89,19 @@
     return median([*values] or [0.0])
 
 
+def likely(count: int, span: float, rate: float) -> bool:
+    """Spoilt sums are left out, as a figure of 10**18 would be believed for minutes.  Harms where reqs rise
+    to many times what proxies said as they joined: the rise is not seen until they join anew."""
+    return span <= SPAN_MOST and count <= NEVER_OVER * (1.0 + rate) * (1.0 + span)
+
+
 Matrix = list[list[float]]
 
 
 def least_cost_flow(demand: list[float], caps: list[float], cost: list[list[float | None]]) -> Matrix:
     """Successive cheapest paths, flow[z][g]; what finds no room is left to overflow.  No link costs None."""
     first, sink = 1 + len(demand), 1 + len(demand) + len(caps)  # nodes: source 0, zones, groups, sink
-    room: dict[tuple[int, int], float] = {}
-    price: dict[tuple[int, int], float] = {}
+    room, price = dict[tuple[int, int], float](), dict[tuple[int, int], float]()
 
     def arc(start: int, end: int, most: float, each: float) -> None:
         room.update({(start, end): most, (end, start): 0.0})
@@ -201,10 +205,9 @@
         self.bes: dict[int, Be] = {}
         self.proxies: dict[int, Proxy] = {}
         self.tables = [Table() for _ in self.zones]
-        self.slices: dict[int, dict[int, float]] = {}
         self.told: dict[int, tuple[float, list[float]]] = {}  # by other managers: when, what
         self.out: list[it.Order] = []  # orders for which no proxy is written
-        self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = 0.0
+        self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = self.usual = 0.0
         self.beat, self.urgent, self.listed, self.due = 0, False, False, False
         self.strain, self.strained, self.level, self.let_in, self.whole = 0.0, 0.0, 0.0, 1.0, 1.0
         self.least = [[[math.inf] * LINK_SPAN for _ in self.zones] for _ in self.zones]  # s, by interval
@@ -213,7 +216,7 @@
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
         self.now, self.due = now, False  # sums, joins and most answers wait for the next beat
         for item in [it.Wake(0), *inputs] if self.beat == 0 else inputs:
-            if type(item) in TAKE:  # nothing rests on slices' loads
+            if type(item) in TAKE:  # of slices it knows nothing: where they are, no table is ordered
                 TAKE[type(item)](self, item)
         if self.due:
             if self.listed and (self.urgent or now >= self.solve_at):
@@ -232,6 +235,7 @@
             self.follow_at = self.now + 5.0  # a call that was never answered is asked again
         if self.terms.probing and self.listed and self.now >= self.probe_at:
             self._probe()
+        self.usual = max(self.usual, sum(p.rate for p in self.proxies.values()))  # as they joined
         self._judge()
 
     def _listing(self, listing: it.Listing) -> None:
@@ -271,23 +275,23 @@
 
     def _tally(self, t: it.Tally) -> None:
         be = self.bes.get(t.be)
-        if be is None or t.tries <= 0:
+        if be is None or t.tries <= 0 or not likely(t.tries, t.span, self.usual):
             return
         be.tries += t.tries
         be.errored += t.errored
         done, span = be.done.get(t.zone, (0.0, 0.0))
         be.done[t.zone] = (done + t.tries - t.errored, span + t.span)
-        if t.tries > t.errored and t.took > 0:
+        if t.tries > t.errored and 0 < t.took < NEVER_OVER * self.tightest:
             be.add(t.took, t.tries - t.errored)
             least = self.least[t.zone][be.zone]
             least[0] = min(least[0], t.took)
-        load = t.report.get("util", be.load)
+        load = min(t.report.get("util", be.load), NEVER_OVER)
         be.load = load if be.load < 0 else (be.load + load) / 2
 
     def _ingress(self, u: it.Ingress) -> None:
         """Counts over the time they cover: small proxies are heard of seldom; late sums leave them as is."""
         p = self.proxies.get(u.proxy)
-        if p is not None:
+        if p is not None and likely(u.reqs, u.span, p.rate):
             keep = KEEP if p.spans[u.kind] > DEMAND_SPAN else 1.0
             p.count[u.kind] = p.count[u.kind] * keep + u.reqs
             p.spans[u.kind] = p.spans[u.kind] * keep + u.span
@@ -304,14 +308,14 @@
         if be is None:
             return
         be.lost = 0 if p.done else be.lost + 1
-        held = p.report.get("inflight", be.held)
+        held = min(p.report.get("inflight", be.held), NEVER_OVER * (1.0 + self.usual))
         be.held = held if be.held < 0 else (be.held + held) / 2
         if p.done and be.state == OUT and self.now >= be.due:
             self._step(p.be, "due", f"probe answered in {p.took * 1000:.0f} ms")
 
     def _joined(self, j: it.Joined) -> None:
         self._left(it.Left(j.proxy))
-        self.proxies[j.proxy] = Proxy(j.zone, j.reqs_per_s, len(self.terms.kinds))
+        self.proxies[j.proxy] = Proxy(j.zone, min(j.reqs_per_s, RATE_MOST), len(self.terms.kinds))
         self.gate.written.pop(j.proxy, None)
         self.solve_at = self.now
 
@@ -364,6 +368,7 @@
 
     def _measure(self) -> None:
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
+        self._forget()
         for be in self.bes.values():
             rate = sum(done / span for done, span in be.done.values() if span > 0)
             if be.load >= 0 and rate > 0 and self.part[be.zone] >= PART_LEAST and not self._cold(be):
@@ -389,6 +394,16 @@
             self.out.append(it.Remark(f"levels {before:.2f}>{self.let_in:.2f}: overload {strained:.2f}"))
         self.least = [[[math.inf, *least[:-1]] for least in row] for row in self.least]
 
+    def _forget(self) -> None:
+        """Who is long gone and in no table is known no more, lest a long life fill up; waits for proxies that
+        may hold tables of others.  Harms one that is listed again: it starts like a new one."""
+        bound = sum(len(t.users) for t in self.tables) == len(self.proxies)
+        held = {i for t in self.tables for i in t.sent}
+        for i, be in self._in(GONE).items() if bound else ():
+            if be.cordoned and self.now - be.due > GONE_FOR and i not in held:
+                del self.bes[i]
+                self.out += [it.Cordon(i, False), it.Forget(i)]
+
     def _overload(self, live: list[Be]) -> float:
         """How far most servers show overload, from 1: errors, time, reqs held over rate (Little), load."""
         queue = middle(be.held / be.planned for be in live if be.held >= 0 and be.planned > 0)
@@ -502,7 +517,7 @@
         """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; deltas last."""
         self.gate.open(self.now)
         self._send_cordons([i for i, b in self._in(GONE, *LIVE).items() if (b.state == GONE) != b.cordoned])
-        self._mend_slices() if self.terms.slices else self._send_binds()
+        self._send_binds()
         for z, table in enumerate(self.tables):
             if self.now - table.at > ANSWER_WAIT:
                 table.pace = PACE.get((table.pace, "late"), table.pace)
@@ -535,7 +550,8 @@
             self._send_cordons(changed[: len(changed) // 2])
 
     def _send_binds(self) -> None:
-        unbound = [(-x.rate, p) for p, x in self.proxies.items() if p not in self.tables[x.zone].users]
+        proxies = {} if self.terms.slices else self.proxies  # slices can't be bound
+        unbound = [(-x.rate, p) for p, x in proxies.items() if p not in self.tables[x.zone].users]
         for _, p in sorted(unbound):
             z, table = self.proxies[p].zone, self.tables[self.proxies[p].zone]
             if not table.users:  # nobody reads the table: laying it costs nothing
@@ -600,33 +616,19 @@
             left -= rate
         return 1e6
 
-    def _mend_slices(self) -> None:
-        """A slice that has lost all its servers gets the one that holds fewest, the largest of them."""
-        full = self._estimates()
-        for t, lines in self.slices.items():
-            if full and not any(i in full for i in lines):
-                best = min(full, key=lambda i: (sum(i in held for held in self.slices.values()), -full[i]))
-                if self.gate.put([it.SetLine(t, best, 1.0)], dict.fromkeys(self.proxies, 1), True):
-                    self.slices[t] = {best: 1.0}
-
 
 Effect = Callable[[Ladder, Be], None]
 LIFE: dict[tuple[str, str], tuple[str, Effect | None]] = {
     **{(state, "started"): (RAMP, Ladder._begin) for state in (ABSENT, GONE, OUT, *LIVE)},
-    **{(state, "leaving"): (GONE, None) for state in (ABSENT, OUT, *LIVE)},
+    **{(state, "leaving"): (GONE, Ladder._shut) for state in (ABSENT, OUT, *LIVE)},
     **{(state, "bad"): (OUT, Ladder._shut) for state in LIVE},
-    (ABSENT, "listed"): (WELL, None),
     **{(state, "seen"): (RAMP, Ladder._begin) for state in (ABSENT, GONE)},
-    (RAMP, "grown"): (WELL, None),
-    (OUT, "due"): (RAMP, Ladder._begin),
-}
-PACE = {
-    (IDLE, "sent"): WAITING, (WAITING, "sent"): WAITING, (WAITING, "answered"): IDLE, (WAITING, "late"): IDLE,
+    (ABSENT, "listed"): (WELL, None), (RAMP, "grown"): (WELL, None), (OUT, "due"): (RAMP, Ladder._begin),
 }
+PACE = dict.fromkeys([(IDLE, "sent"), (WAITING, "sent")], WAITING)
+PACE |= dict.fromkeys([(WAITING, "answered"), (WAITING, "late")], IDLE)
 TAKE: dict[type, Callable[..., None]] = {
     it.Listing: Ladder._listing, it.Wake: Ladder._wake, it.Probed: Ladder._probed, it.Joined: Ladder._joined,
     it.Left: Ladder._left, it.Tally: Ladder._tally, it.Ingress: Ladder._ingress, it.Hint: Ladder._hint,
-    it.Given: lambda self, g: self.slices.update({g.table: {}}) if g.on else self.slices.pop(g.table, None),
-    it.Stored: lambda self, s: self.slices.get(s.table, {}).update({s.be: s.weight}),
     it.Answered: Ladder._answered,
 }
--- a/cottonladder/simhost/__main__.py
+++ b/cottonladder/simhost/__main__.py
@@ -7,6 +7,7 @@
 import traceback
 from typing import Any
 
+from ..decisions import interface as it
 from ..decisions.rules import Ladder
 from ..wire.terms import WireError, field
 from .codec import Door
@@ -69,7 +70,7 @@
             return
         try:
             orders = seat.ladder.decide(now, inputs)
-            outbox.extend(seat.door.write(order) for order in orders)
+            outbox += [seat.door.write(o) for o in orders if not isinstance(o, it.Forget)]  # ids are few here
         except Exception as exc:  # the wire's own word for a fault of the decisions
             traceback.print_exc(file=sys.stderr)
             outbox.append({"CRASH": {"Words": f"{type(exc).__name__}: {exc}"}})
--- a/cottonladder/state/spread.py
+++ b/cottonladder/state/spread.py
@@ -49,6 +49,7 @@
         self._told: dict[int, Told] = {}
         self._users: dict[int, dict[int, None]] = {}  # table -> proxies that read it, for any kind
         self._drafts: dict[int, list[Op]] = {}
+        self._gone: list[int] = []  # forgotten once all that is drafted has been encoded
 
     def hear(self, batch: list[it.Input]) -> None:
         """Joins and leaves of a batch; heard before the module sees it, so that its orders meet them."""
@@ -79,7 +80,7 @@
             return f"weight {order.weight}"
         if isinstance(order, it.Level) and not (math.isfinite(order.let_in) and order.let_in >= 0):
             return f"level {order.let_in}"
-        if isinstance(order, (it.SetLine, it.Cordon)) and not self._workers.known(order.be):
+        if isinstance(order, (it.SetLine, it.Cordon, it.Forget)) and not self._workers.known(order.be):
             return f"worker {order.be} was never listed"
         TAKE[type(order)](self, order)
         return ""
@@ -94,6 +95,9 @@
             if key not in encoded:
                 encoded[key] = self._encode(key)
             yield proxy, encoded[key]
+        for be in self._gone:
+            self._workers.forget(be)
+        self._gone = []
 
     def lines(self) -> dict[int, int]:
         """What the messages drafted cost by now, without their heads."""
@@ -121,7 +125,8 @@
     def _let_in(self, proxy: int, be: int) -> list[Op]:
         """A line's worker as this manager has it: shut out, or let in where someone may have shut it out."""
         told = self._told[proxy]
-        out, doubtful = be in self._out, not told.sure and self._workers.restarted(be)
+        out = be in self._out
+        doubtful = self._workers.doubtful(be) or (not told.sure and self._workers.restarted(be))
         if told.out.get(be, None if doubtful else False) == out:
             return []
         told.out[be] = out
@@ -186,6 +191,15 @@
             reads = [k for k in kinds if everywhere or self._bound[proxy][k] == o.table]
             self._draft(proxy, *self._gates(proxy, reads))
 
+    def _forget(self, o: it.Forget) -> None:
+        """A proxy may shut it out for good; should it be listed again, it is let in with its first line."""
+        self._out.pop(o.be, None)
+        for table in self._tables.values():
+            table.lines.pop(o.be, None)
+        for told in self._told.values():
+            told.out.pop(o.be, None)
+        self._gone.append(o.be)
+
     def _mark(self, o: it.Mark) -> None:
         for proxy in list(self._bound if o.everyone else self._drafts):
             self._draft(proxy, ("stamp", 0, o.number, 0.0, 0))
@@ -239,4 +253,5 @@
     it.Cordon: Spread._cordon,
     it.Level: Spread._set_level,
     it.Mark: Spread._mark,
+    it.Forget: Spread._forget,
 }
--- a/cottonladder/state/workers.py
+++ b/cottonladder/state/workers.py
@@ -2,19 +2,33 @@
 
 from __future__ import annotations
 
+import zlib
+from dataclasses import dataclass
+
 from ..wire.terms import WireError
 
-WORKERS_MOST = 65536  # ids over one life of the manager; some 20 MB, and far more than a life lists
+WORKERS_MOST = 65536  # ids known at once; some 20 MB, and far more than a list names
+PLACES = 1 << 16  # bits for the ids forgotten: 8 KiB, full after tens of thousands of them
+
+
+@dataclass(slots=True)
+class Worker:
+    address: str
+    doubtful: bool  # it was forgotten once, so that proxies may still shut it out
+    restarted: bool = False
 
 
 class Workers:
-    """Only the list makes a worker known; a known one stays so when it is gone."""
+    """Only the list makes a worker known; it stays so until the module forgets it.  Indices are never used
+    again, so a late word on one that is gone meets nobody.  Of who was forgotten a bit of a hash is kept: a
+    worker that returns, or hits another's bit, costs a line that lets it in at each proxy, and no more."""
 
     def __init__(self) -> None:
-        self.ids: list[bytes] = []
-        self._addresses: list[str] = []
-        self._restarted: list[bool] = []
+        self.ids: dict[int, bytes] = {}
+        self._workers: dict[int, Worker] = {}
         self._index: dict[bytes, int] = {}
+        self._next = 0
+        self._forgotten = bytearray(PLACES // 8)
 
     def learn(self, name: str, address: str, started: float) -> int:
         key = name.encode()
@@ -22,23 +36,34 @@
         if index is None:
             if len(self.ids) >= WORKERS_MOST:
                 raise WireError(f"more than {WORKERS_MOST} workers listed")
-            index = self._index[key] = len(self.ids)
-            self.ids.append(key)
-            self._addresses.append(address)
-            self._restarted.append(False)
-        self._addresses[index] = address
-        self._restarted[index] |= started > 0
+            index = self._index[key] = self._next
+            self._next += 1
+            self.ids[index] = key
+            byte, bit = divmod(zlib.crc32(key) % PLACES, 8)
+            self._workers[index] = Worker(address, bool(self._forgotten[byte] >> bit & 1))
+        worker = self._workers[index]
+        worker.address = address
+        worker.restarted |= started > 0
         return index
 
+    def forget(self, be: int) -> None:
+        key = self.ids.pop(be)
+        del self._index[key], self._workers[be]
+        byte, bit = divmod(zlib.crc32(key) % PLACES, 8)
+        self._forgotten[byte] |= 1 << bit
+
     def find(self, key: bytes) -> int | None:
         return self._index.get(key)
 
     def known(self, be: int) -> bool:
-        return 0 <= be < len(self.ids)
+        return be in self.ids
 
     def restarted(self, be: int) -> bool:
-        """Ever, as far as the list told: a start of long ago is listed as none."""
-        return self._restarted[be]
+        """Since it is known, as far as the list told: a start of long ago is listed as none."""
+        return self._workers[be].restarted
+
+    def doubtful(self, be: int) -> bool:
+        return self._workers[be].doubtful
 
     def address(self, be: int) -> str:
-        return self._addresses[be]
+        return self._workers[be].address
--- a/cottonladder/wire/probes.py
+++ b/cottonladder/wire/probes.py
@@ -41,15 +41,15 @@
         )
 
     def send(self, be: int) -> None:
-        task = asyncio.create_task(self._probe(be))
+        task = asyncio.create_task(self._probe(be, self._address_of(be)))
         self._tasks[task] = None
         task.add_done_callback(lambda done: self._tasks.pop(done, None))
 
-    async def _probe(self, be: int) -> None:
+    async def _probe(self, be: int, address: str) -> None:
         async with self._turn:
             sent, done, report = time.monotonic(), False, dict[str, float]()
             try:
-                async with self._session.get(f"http://{self._address_of(be)}{self._path}") as reply:
+                async with self._session.get(f"http://{address}{self._path}") as reply:
                     body = await reply.content.read(BODY_MOST)
                     done = reply.status == 200
                     report = read_report(body.decode()) if done else {}
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -16,8 +16,9 @@
     expect table Z has|lacks bN .. | expect table Z bN < SHARE | expect table Z bN > SHARE
     expect cordoned bN .. | expect open bN .. | expect bound pN .. (in that order) | expect unbound pN ..
     expect level Z KIND < SHARE | expect level Z KIND > SHARE
+    expect demand < REQS            a second, of all the proxies here
     expect waiting < LINES | expect flying < LINES (by answers alone) | expect messages pN < COUNT
-    expect order NAME | expect no order NAME
+    expect order NAME | expect no order NAME | expect known bN .. | expect unknown bN ..
     expect further NAME            the only way of trying further that was ordered
     expect log WORDS
 """
@@ -167,6 +168,8 @@
         if what in ("waiting", "flying"):
             lines = getattr(self.ladder.gate, what)
             return _compare(lines, args[0], args[1]) and lines >= 0
+        if what == "demand":
+            return _compare(sum(self.ladder._demand()[0]), args[0], args[1])
         if what == "messages":
             times = self.written[ids[0]]
             worst = max((sum(t - 10.0 < u <= t for u in times) for t in times), default=0)
@@ -175,6 +178,8 @@
             return {o.further.name.lower() for o in self.orders if isinstance(o, it.Level)} == set(args)
         if what in ("order", "no"):
             return any(type(o).__name__ == args[-1] for o in self.orders) == (what == "order")
+        if what in ("known", "unknown"):
+            return all((i in self.ladder.bes) == (what == "known") for i in ids)
         if what == "log":
             return any(isinstance(o, it.Remark) and " ".join(args) in o.text for o in self.orders)
         raise ValueError(f"unknown word {what}")
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -4,7 +4,7 @@
     listed bN[^STARTED] ..          discovery lists these
     join pN [fresh] | left pN
     line TABLE bN WEIGHT | empty TABLE | bind pN TABLE all|KIND | cordon bN | uncordon bN
-    level TABLE|all KIND LET_IN AGAIN | mark N [everyone]
+    level TABLE|all KIND LET_IN AGAIN | mark N [everyone] | forget bN
     refused ORDER                   an order that must never be sent
     costs pN=LINES ..               lines since the last `costs` or `sends` to that proxy; all others none
     sends pN WORDS | WORDS ..       its whole message since the last `sends`, part by part; or: nothing
@@ -42,7 +42,7 @@
             for arg in args:
                 name, _, started = arg.partition("^")
                 self.workers.learn(name, "", float(started or 0))
-            self.spread = Spread(self.kinds, self.managers, self.workers)
+            self.spread = self.spread or Spread(self.kinds, self.managers, self.workers)
         elif self.spread is None:
             raise ValueError("nobody is listed yet")
         elif verb == "join":
@@ -83,6 +83,8 @@
             table = it.ALL_TABLES if args[0] == "all" else int(args[0])
             further = it.Further(int(args[3]))
             return it.Level(table, float(args[2]), 1 << self.kinds.index(args[1]), further)
+        if verb == "forget":
+            return it.Forget(int(args[0][1:]))
         if verb == "mark":
             return it.Mark(int(args[0]), args[1:] == ["everyone"])
         raise ValueError(f"unknown word {verb}")
@@ -139,14 +141,14 @@
         holder.waiting = holder.waiting[: self.draw.randrange(3)]  # the rest is lost with the stream
         holder.arrive()
         if self.managers > 1 and not fresh:
-            restarted = [i for i in range(len(self.workers.ids)) if self.workers.restarted(i)]
+            restarted = [i for i in self.workers.ids if self.workers.restarted(i)]
             holder.out |= {self.workers.ids[i] for i in self.draw.sample(restarted, min(3, len(restarted)))}
         again: list[it.Input] = [left] if p in self.holders else []
         self.holders[p] = holder
         return [*again, it.Joined(p, p % 3, 10.0, fresh)]
 
     def inputs(self) -> list[it.Input]:
-        n, be = self.draw.randrange(30), self.draw.randrange(len(self.workers.ids))
+        n, be = self.draw.randrange(30), self.draw.randrange(max(self.workers.ids) + 1)
         drawn = self.draw.randrange(6)
         if drawn == 0:
             return self.join(self.draw.randrange(12))
@@ -174,6 +176,7 @@
             for p in table.users:
                 holder = self.holders[p]
                 holder.arrive()
+                expect(self.workers.ids.keys() >= self.ladder.bes.keys(), True)
                 sent = {self.workers.ids[i]: w for i, w in table.sent.items() if w > 0}
                 out = {self.workers.ids[i] for i in table.sent if self.ladder.bes[i].cordoned}
                 expect(holder.rows, sent)
