Reqs held for its size tell a slow server; many small proxies use cold ones early

Lines at fault: rules._measure (slowness by sums alone) and rules._estimates (no line to cold servers wherever proxies can avoid). Strikes in a row at one server, before sums tell, take a proxy that brings it many reqs; at 1.2 reqs/s over 8 servers they take 20 s. Guards also against servers slowed or jammed by anyone else's load.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -4,7 +4,7 @@
 to groups (a zone's servers) makes a table for each zone.  Beside the design:
 1. the order gate: a ledger of lines by answers; rule-bearing orders first, deltas in pieces that fit;
 2. the server lifecycle: silent servers are shut out and come back in small, cold ones are eased in;
-3. slowness: a server's estimate falls with its response time and errors against the fleet's;
+3. slowness: a server's estimate falls with its times, errors and reqs held against the fleet's;
 4. even filling: groups are filled to a little over the fleet's mean level, not to their estimates;
 5. unseen proxies: other managers' demand, as they tell it where they may talk, else as a guess;
 6. levels: while most servers show overload, the reqs worth least for their time are denied first.
@@ -32,7 +32,7 @@
 MOVE, NEW_SHARE, OUT_MOST, OUT_WAIT = 0.1, 0.25, 0.34, 5.0  # part that moves; a start's; shut out at most, s
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_PART, COLD_MOST, COLD_OVER = 0.22, 0.7, 1.2  # of the multiple; of what it surely does; over its part
-COLD_CALM, COLD_YOUNG, BLIND_BEATS = 12.0, 0.75, 16  # if avoiding: 1/errors, part of capacity; no sums yet
+COLD_CALM, COLD_YOUNG, BLIND_BEATS, AVOID_RATE = 12.0, 0.75, 16, 0.4  # 1/errors, part; no sums yet; reqs/s
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
@@ -90,8 +90,7 @@
 
 
 def likely(count: int, span: float, rate: float) -> bool:
-    """Spoilt sums are left out, as a figure of 10**18 would be believed for minutes.  Harms where reqs rise
-    to many times what proxies said as they joined: the rise is not seen until they join anew."""
+    """Spoilt sums would be believed for minutes.  Harms where reqs rise eightfold past what proxies said."""
     return span <= SPAN_MOST and count <= NEVER_OVER * (1.0 + rate) * (1.0 + span)
 
 
@@ -149,11 +148,9 @@
         self.waiting, self.at = max(0.0, self.waiting - drained), now
 
     def answered(self, mark: int, proxy: int) -> None:
-        if mark not in self.flight:
-            return
-        while (first := next(iter(self.flight))) != mark:  # the channel keeps their order: these have left
+        while mark in self.flight and (first := next(iter(self.flight))) != mark:  # these left before it
             self.flying -= sum(self.flight.pop(first).values())
-        self.flying -= self.flight[mark].pop(proxy, 0)
+        self.flying -= self.flight.get(mark, {}).pop(proxy, 0)
         self.waiting = min(self.waiting, self.flying)
 
     def _recent(self, proxy: int) -> list[float]:
@@ -379,10 +376,12 @@
         live = self._in(*LIVE)
         over = {i: be.mean() / be.base for i, be in live.items() if be.base > 0}
         bad = {i: be.errored / be.tries for i, be in live.items() if be.tries >= 1.0}
-        usual_over, usual_bad = middle(over.values()), middle(bad.values())
+        held = {i: be.held / be.weight for i, be in live.items()}  # probes tell first, and of all
+        usual_over, usual_bad, usual_held = (middle(each.values()) for each in (over, bad, held))
         jam = max(1.0, self.strained)  # in a jam times lie far apart by chance: weights must not chase them
         for i, be in live.items():
-            aim = min(1.0, jam * SLOW_OVER * usual_over / over[i]) if over.get(i, 0.0) > 0 else 1.0
+            late = max(over.get(i, 0.0) / max(usual_over, 1e-9), held[i] / max(1.0, usual_held), 1e-9)
+            aim = min(1.0, jam * SLOW_OVER / late)
             aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** (ERRED_POWER / jam)
             step = SLOW_FALL if aim < be.slowness else SLOW_RISE
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
@@ -434,10 +433,13 @@
                 age = (self.now - be.started) / self.terms.warm_after
                 cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
         # Avoiding proxies turn to cold servers at any weight, before sums tell; harms deploys in overload.
+        # The strikes that takes come too slowly where a proxy brings a server a req each few seconds.
+        rates = [p.rate for p in self.proxies.values()]
+        quick = sum(r * r for r in rates) * len(self.zones) > AVOID_RATE * sum(rates) * len(live)
         for i, room in cold.items():
             young = room < COLD_YOUNG * full[i] or self.beat < BLIND_BEATS
             strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0 or young))
-            strain = strain if self.terms.avoids else max(self.strain, self.strained - 1.0)
+            strain = strain if self.terms.avoids and quick else max(self.strain, self.strained - 1.0)
             full[i] = room * min(COLD_MOST, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
@@ -460,8 +462,8 @@
 
     def _tell(self, own: list[float]) -> None:
         """Proxies and admitted demand by zone, for those who can't see them; a lost word is a guess again."""
-        count = [sum(p.zone == z for p in self.proxies.values()) for z in self.zones]
-        words = (f"{n} {d * self.let_in:.1f}" for n, d in zip(count, own, strict=True))
+        at = [p.zone for p in self.proxies.values()]
+        words = [f"{at.count(z)} {own[z] * self.let_in:.1f}" for z in self.zones]
         self.out.append(it.Tell(-1, " ".join(words)))
 
     def _hint(self, hint: it.Hint) -> None:
@@ -517,7 +519,7 @@
         """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; deltas last."""
         self.gate.open(self.now)
         self._send_cordons([i for i, b in self._in(GONE, *LIVE).items() if (b.state == GONE) != b.cordoned])
-        self._send_binds()
+        self._send_binds() if not self.terms.slices else None
         for z, table in enumerate(self.tables):
             if self.now - table.at > ANSWER_WAIT:
                 table.pace = PACE.get((table.pace, "late"), table.pace)
@@ -550,8 +552,7 @@
             self._send_cordons(changed[: len(changed) // 2])
 
     def _send_binds(self) -> None:
-        proxies = {} if self.terms.slices else self.proxies  # slices can't be bound
-        unbound = [(-x.rate, p) for p, x in proxies.items() if p not in self.tables[x.zone].users]
+        unbound = [(-x.rate, p) for p, x in self.proxies.items() if p not in self.tables[x.zone].users]
         for _, p in sorted(unbound):
             z, table = self.proxies[p].zone, self.tables[self.proxies[p].zone]
             if not table.users:  # nobody reads the table: laying it costs nothing
@@ -596,8 +597,7 @@
         """What is let in of each kind: the kinds worth least for their response target are denied first."""
         kinds = self.terms.kinds
         came = [sum(p.came(k) for p in self.proxies.values()) for k in range(len(kinds))]
-        deny = (1.0 - self.let_in) * sum(came)
-        shares = {}
+        deny, shares = (1.0 - self.let_in) * sum(came), dict[int, float]()
         for k in sorted(range(len(kinds)), key=lambda k: kinds[k].importance / kinds[k].response_target):
             denied = min(deny, came[k] * (1.0 - LEVEL_LEAST))
             shares[k] = 1.0 - denied / came[k] if came[k] > 0 else 1.0
