Probes go by who is here now; a proxy that came over from another manager counts once

Checked: probes sent (once, before any proxy had joined). Lines at fault: rules._probe, which set the next one by the price over the demand of that moment (none: 160 s), and rules._demand, which adds what others told to who is here.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -204,8 +204,8 @@
         self.tables = [Table() for _ in self.zones]
         self.told: dict[int, tuple[float, list[float]]] = {}  # by other managers: when, what
         self.out: list[it.Order] = []  # orders for which no proxy is written
-        self.now = self.solve_at = self.measure_at = self.follow_at = self.probe_at = self.usual = 0.0
-        self.beat, self.urgent, self.listed, self.due = 0, False, False, False
+        self.now = self.solve_at = self.measure_at = self.follow_at = self.usual = 0.0
+        self.beat, self.probe_at, self.urgent, self.listed, self.due = 0, -math.inf, False, False, False
         self.strain, self.strained, self.level, self.let_in, self.whole = 0.0, 0.0, 0.0, 1.0, 1.0
         self.least = [[[math.inf] * LINK_SPAN for _ in self.zones] for _ in self.zones]  # s, by interval
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
@@ -230,9 +230,9 @@
         if self.terms.list_on_request and self.now >= self.follow_at:
             self.out.append(it.Follow(True))
             self.follow_at = self.now + 5.0  # a call that was never answered is asked again
-        if self.terms.probing and self.listed and self.now >= self.probe_at:
-            self._probe()
-        self.usual = max(self.usual, sum(p.rate for p in self.proxies.values()))  # as they joined
+        self.usual = max(self.usual, here := sum(p.rate for p in self.proxies.values()))  # as they joined
+        if self.terms.probing and self.listed:
+            self._probe(here)
         self._judge()
 
     def _listing(self, listing: it.Listing) -> None:
@@ -271,8 +271,7 @@
         be.due, be.planned = self.now + OUT_WAIT * self.uniform(0.9, 1.1), 0.0
 
     def _tally(self, t: it.Tally) -> None:
-        be = self.bes.get(t.be)
-        if be is None or t.tries <= 0 or not likely(t.tries, t.span, self.usual):
+        if (be := self.bes.get(t.be)) is None or t.tries <= 0 or not likely(t.tries, t.span, self.usual):
             return
         be.tries += t.tries
         be.errored += t.errored
@@ -287,22 +286,21 @@
 
     def _ingress(self, u: it.Ingress) -> None:
         """Counts over the time they cover: small proxies are heard of seldom; late sums leave them as is."""
-        p = self.proxies.get(u.proxy)
-        if p is not None and likely(u.reqs, u.span, p.rate):
+        if (p := self.proxies.get(u.proxy)) is not None and likely(u.reqs, u.span, p.rate):
             keep = KEEP if p.spans[u.kind] > DEMAND_SPAN else 1.0
             p.count[u.kind] = p.count[u.kind] * keep + u.reqs
             p.spans[u.kind] = p.spans[u.kind] * keep + u.span
 
-    def _probe(self) -> None:
-        """Silence and queues show seconds before sums; harms where probes queue, as jams then look silent."""
+    def _probe(self, here: float) -> None:
+        """Silence and queues show before sums; harms where probes queue.  Their price goes by who is here."""
         listed = self._in(OUT, *LIVE)
-        price = len(listed) * self.terms.probe_price / max(1.0, sum(self._demand()[0]))
-        self.probe_at = self.now + max(PROBE_EVERY, price / PROBE_POINTS) * self.uniform(0.9, 1.1)
-        self.out += [it.Probe(i) for i in listed]
+        price = len(listed) * self.terms.probe_price / max(1.0, here)
+        if self.now >= self.probe_at + max(PROBE_EVERY, price / PROBE_POINTS):
+            self.probe_at = self.now + PROBE_EVERY * self.uniform(-0.1, 0.1)
+            self.out += [it.Probe(i) for i in listed]
 
     def _probed(self, p: it.Probed) -> None:
-        be = self.bes.get(p.be)
-        if be is None:
+        if (be := self.bes.get(p.be)) is None:
             return
         be.lost = 0 if p.done else be.lost + 1
         held = min(p.report.get("inflight", be.held), NEVER_OVER * (1.0 + self.usual))
@@ -376,7 +374,7 @@
         live = self._in(*LIVE)
         over = {i: be.mean() / be.base for i, be in live.items() if be.base > 0}
         bad = {i: be.errored / be.tries for i, be in live.items() if be.tries >= 1.0}
-        held = {i: be.held / be.weight for i, be in live.items()}  # probes tell first, and of all
+        held = {i: (not be.lost) * be.held / be.weight for i, be in live.items()}  # told first, and of all
         usual_over, usual_bad, usual_held = (middle(each.values()) for each in (over, bad, held))
         jam = max(1.0, self.strained)  # in a jam times lie far apart by chance: weights must not chase them
         for i, be in live.items():
@@ -405,7 +403,7 @@
 
     def _overload(self, live: list[Be]) -> float:
         """How far most servers show overload, from 1: errors, time, reqs held over rate (Little), load."""
-        queue = middle(be.held / be.planned for be in live if be.held >= 0 and be.planned > 0)
+        queue = middle(be.held / be.planned for be in live if be.held >= 0 < be.planned and not be.lost)
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
         time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
         load = middle(be.load for be in live if be.load >= 0)
@@ -454,6 +452,8 @@
             for z in self.zones if self.now - at < TOLD_FOR * INTERVAL else ():
                 count[z], others[z] = count[z] + told[2 * z], others[z] + told[2 * z + 1]
         missing = self.terms.proxies - sum(count)
+        if missing < 0:  # who has come over since is still told of as there: nobody counts twice
+            others = [max(0.0, o + o * missing / max(1.0, sum(count) - len(self.proxies))) for o in others]
         gaps = [max(0.0, self.terms.proxies / len(self.zones) - c) for c in count]
         if self.terms.managers > 1 and missing > 0 and self.proxies and sum(gaps) > 0:
             each = fmean(p.rate for p in self.proxies.values())  # few carry most: a median is far below
@@ -540,8 +540,8 @@
                 table = self.tables[proxy.zone]
                 if i in table.sent or p not in table.users:  # others get no message, so they answer no mark
                     cost[p] = cost.get(p, 0) + 1 + (back and i in table.sent)
-            holders = [(z, t.want) for z, t in enumerate(self.tables) if back and i in t.sent]
-            lines += [it.SetLine(z, i, want.get(i, 0.0)) for z, want in holders]
+            holders = enumerate(self.tables) if back else ()
+            lines += [it.SetLine(z, i, t.want.get(i, 0.0)) for z, t in holders if i in t.sent]
             cordons.append(it.Cordon(i, not back))
         if self.gate.put([*lines, *cordons], cost, True):
             for cordon in cordons:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -16,7 +16,8 @@
     expect table Z has|lacks bN .. | expect table Z bN < SHARE | expect table Z bN > SHARE
     expect cordoned bN .. | expect open bN .. | expect bound pN .. (in that order) | expect unbound pN ..
     expect level Z KIND < SHARE | expect level Z KIND > SHARE
-    expect demand < REQS            a second, of all the proxies here
+    expect demand < REQS | expect others < REQS     a second, of the proxies here, of those elsewhere
+    expect probes > COUNT           ordered so far
     expect waiting < LINES | expect flying < LINES (by answers alone) | expect messages pN < COUNT
     expect order NAME | expect no order NAME | expect known bN .. | expect unknown bN ..
     expect further NAME            the only way of trying further that was ordered
@@ -168,8 +169,10 @@
         if what in ("waiting", "flying"):
             lines = getattr(self.ladder.gate, what)
             return _compare(lines, args[0], args[1]) and lines >= 0
-        if what == "demand":
-            return _compare(sum(self.ladder._demand()[0]), args[0], args[1])
+        if what in ("demand", "others"):
+            return _compare(sum(self.ladder._demand()[what == "others"]), args[0], args[1])
+        if what == "probes":
+            return _compare(sum(isinstance(o, it.Probe) for o in self.orders), args[0], args[1])
         if what == "messages":
             times = self.written[ids[0]]
             worst = max((sum(t - 10.0 < u <= t for u in times) for t in times), default=0)
