Reqs held tell slowness only where proxies don't avoid servers by themselves

There 48 proxies bring each server 1 req/s and strike a jammed one out by themselves; lowering its estimate as well overshoots, and the middle of reqs held over reqs planned then shows less overload, so less is denied. Line at fault: rules._measure.

A server that leaves draws no chance any more; probes' price goes by demand as well as by who is here.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -205,7 +205,8 @@
         self.told: dict[int, tuple[float, list[float]]] = {}  # by other managers: when, what
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.usual = 0.0
-        self.beat, self.probe_at, self.urgent, self.listed, self.due = 0, -math.inf, False, False, False
+        self.beat, self.probe_at, self.striking = 0, -math.inf, False  # striking: proxies avoid by themselves
+        self.urgent = self.listed = self.due = False
         self.strain, self.strained, self.level, self.let_in, self.whole = 0.0, 0.0, 0.0, 1.0, 1.0
         self.least = [[[math.inf] * LINK_SPAN for _ in self.zones] for _ in self.zones]  # s, by interval
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
@@ -231,8 +232,7 @@
             self.out.append(it.Follow(True))
             self.follow_at = self.now + 5.0  # a call that was never answered is asked again
         self.usual = max(self.usual, here := sum(p.rate for p in self.proxies.values()))  # as they joined
-        if self.terms.probing and self.listed:
-            self._probe(here)
+        self._probe(here) if self.terms.probing and self.listed else None
         self._judge()
 
     def _listing(self, listing: it.Listing) -> None:
@@ -268,7 +268,7 @@
         be.fade(0.0)
 
     def _shut(self, be: Be) -> None:
-        be.due, be.planned = self.now + OUT_WAIT * self.uniform(0.9, 1.1), 0.0
+        be.due, be.planned = self.now + (OUT_WAIT * self.uniform(0.9, 1.1) if be.state == OUT else 0.0), 0.0
 
     def _tally(self, t: it.Tally) -> None:
         if (be := self.bes.get(t.be)) is None or t.tries <= 0 or not likely(t.tries, t.span, self.usual):
@@ -294,7 +294,7 @@
     def _probe(self, here: float) -> None:
         """Silence and queues show before sums; harms where probes queue.  Their price goes by who is here."""
         listed = self._in(OUT, *LIVE)
-        price = len(listed) * self.terms.probe_price / max(1.0, here)
+        price = len(listed) * self.terms.probe_price / max(1.0, here, sum(self._demand()[0]))
         if self.now >= self.probe_at + max(PROBE_EVERY, price / PROBE_POINTS):
             self.probe_at = self.now + PROBE_EVERY * self.uniform(-0.1, 0.1)
             self.out += [it.Probe(i) for i in listed]
@@ -374,7 +374,7 @@
         live = self._in(*LIVE)
         over = {i: be.mean() / be.base for i, be in live.items() if be.base > 0}
         bad = {i: be.errored / be.tries for i, be in live.items() if be.tries >= 1.0}
-        held = {i: (not be.lost) * be.held / be.weight for i, be in live.items()}  # told first, and of all
+        held = {i: (not self.striking) * be.held / be.weight for i, be in live.items()}  # told before sums
         usual_over, usual_bad, usual_held = (middle(each.values()) for each in (over, bad, held))
         jam = max(1.0, self.strained)  # in a jam times lie far apart by chance: weights must not chase them
         for i, be in live.items():
@@ -403,7 +403,7 @@
 
     def _overload(self, live: list[Be]) -> float:
         """How far most servers show overload, from 1: errors, time, reqs held over rate (Little), load."""
-        queue = middle(be.held / be.planned for be in live if be.held >= 0 < be.planned and not be.lost)
+        queue = middle(be.held / be.planned for be in live if be.held >= 0 < be.planned)
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
         time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
         load = middle(be.load for be in live if be.load >= 0)
@@ -432,12 +432,12 @@
                 cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
         # Avoiding proxies turn to cold servers at any weight, before sums tell; harms deploys in overload.
         # The strikes that takes come too slowly where a proxy brings a server a req each few seconds.
-        rates = [p.rate for p in self.proxies.values()]
-        quick = sum(r * r for r in rates) * len(self.zones) > AVOID_RATE * sum(rates) * len(live)
+        rates, per_line = [p.rate for p in self.proxies.values()], len(self.zones) / max(1, len(live))
+        self.striking = self.terms.avoids and sum(r * r for r in rates) * per_line > AVOID_RATE * sum(rates)
         for i, room in cold.items():
             young = room < COLD_YOUNG * full[i] or self.beat < BLIND_BEATS
             strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0 or young))
-            strain = strain if self.terms.avoids and quick else max(self.strain, self.strained - 1.0)
+            strain = strain if self.striking else max(self.strain, self.strained - 1.0)
             full[i] = room * min(COLD_MOST, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
