--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,14 +11,16 @@
 import unittest
 from contextlib import suppress
 from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any, cast
 from unittest import mock
 
 from aiohttp import web
+from click.testing import CliRunner
 
 from cottonladder.decisions import interface as it
 from cottonladder.decisions.rules import Ladder
-from cottonladder.lifecycle import manager
+from cottonladder.lifecycle import cli, manager
 from cottonladder.lifecycle.owner import Clock
 from cottonladder.lifecycle.placement import read_placement
 from cottonladder.state.roster import Roster
@@ -247,6 +249,16 @@
         client = await self.connect(program, "PING")
         self.assertEqual(await client.hear(), "PONG")
 
+    async def test_check_tells_what_a_reload_would_not_change(self) -> None:
+        with TemporaryDirectory() as folder:
+            for name, changes in (("old", {}), ("new", {"discovery": "h:1"}), ("other", {"name": "n9"})):
+                (Path(folder) / name).write_text(json.dumps({**Program(self.at).config, **changes}))
+            for name, status, words in (("new", 0, "workers known"), ("other", 1, "not change: name")):
+                asked = ["check", "--config", f"{folder}/{name}", "--running", f"{folder}/old"]
+                said = CliRunner().invoke(cli.main, asked)
+                self.assertEqual(said.exit_code, status, said.output)
+                self.assertIn(words, said.output)
+
     async def test_a_fault_in_reading_the_list_is_heard_of(self) -> None:
         def faulty(name: str, address: str, started: float) -> int:
             raise ZeroDivisionError
