--- a/cottonladder/state/workers.py
+++ b/cottonladder/state/workers.py
@@ -18,6 +18,12 @@
     restarted: bool = False
 
 
+def _place(key: bytes) -> tuple[int, int]:
+    """The byte and the bit in it that stand for an id once it is forgotten."""
+    byte, shift = divmod(zlib.crc32(key) % PLACES, 8)
+    return byte, 1 << shift
+
+
 class Workers:
     """Only the list makes a worker known; it stays so until the module forgets it.  Indices are never used
     again, so a late word on one that is gone meets nobody.  Of who was forgotten a bit of a hash is kept: a
@@ -39,8 +45,8 @@
             index = self._index[key] = self._next
             self._next += 1
             self.ids[index] = key
-            byte, bit = divmod(zlib.crc32(key) % PLACES, 8)
-            self._workers[index] = Worker(address, bool(self._forgotten[byte] >> bit & 1))
+            byte, bit = _place(key)
+            self._workers[index] = Worker(address, bool(self._forgotten[byte] & bit))
         worker = self._workers[index]
         worker.address = address
         worker.restarted |= started > 0
@@ -49,8 +55,8 @@
     def forget(self, be: int) -> None:
         key = self.ids.pop(be)
         del self._index[key], self._workers[be]
-        byte, bit = divmod(zlib.crc32(key) % PLACES, 8)
-        self._forgotten[byte] |= 1 << bit
+        byte, bit = _place(key)
+        self._forgotten[byte] |= bit
 
     def find(self, key: bytes) -> int | None:
         return self._index.get(key)
--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -68,8 +68,7 @@
         said = self.address.mouth.read(words)
         step = STEPS.get((self.state, type(said)))
         if step is None:
-            kind = words[0][:32].decode("ascii", errors="replace")
-            raise WireError(f"{kind}: not on a connection that is {self.state}")
+            raise WireError(f"{m.shown(words[0])}: not on a connection that is {self.state}")
         step(self, said)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/cottonladder/wire/messages.py
+++ b/cottonladder/wire/messages.py
@@ -44,7 +44,7 @@
         if 2 * len(self.values) != len(words):
             names = words[::2]
             twice = next(name for name in names if names.count(name) > 1)
-            raise WireError(f"{kind}: field {_shown(twice)} comes twice")
+            raise WireError(f"{kind}: field {shown(twice)} comes twice")
 
     def word(self, name: str) -> bytes:
         value = self.values.get(name.encode())
@@ -86,7 +86,7 @@
         return {key.decode(errors="replace"): figure(value, where) for key, _, value in pairs}
 
 
-def _shown(word: bytes) -> str:
+def shown(word: bytes) -> str:
     return word[:32].decode("ascii", errors="replace")
 
 
@@ -111,8 +111,8 @@
             raise WireError("message: an array without words")
         reader = KINDS.get(words[0])
         if reader is None:
-            raise WireError(f"{_shown(words[0])}: unknown kind of message")
-        return reader(self, Fields(_shown(words[0]), words[1:]))
+            raise WireError(f"{shown(words[0])}: unknown kind of message")
+        return reader(self, Fields(shown(words[0]), words[1:]))
 
     def _zone(self, f: Fields) -> int:
         return self.site.zone(f.text("locality"), f"{f.kind}: field locality")
