--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -117,17 +117,20 @@
     for g, most in enumerate(caps):
         arc(first + g, sink, most, 0.0)
     for _ in range(2 * len(room)):
-        far, came = {0: 0.0}, dict[int, int]()
-        for _ in range(sink + 1):
+        far, came, nearer = {0: 0.0}, dict[int, int](), True
+        while nearer:  # costs of residual arcs hold no negative cycle, so this comes to an end
+            nearer = False
             for (start, end), left in room.items():
                 there = far.get(start, math.inf) + price[start, end]
                 if left > 1e-9 and there < far.get(end, math.inf) - 1e-9:
-                    far[end], came[end] = there, start
+                    far[end], came[end], nearer = there, start, True
         path, node = [], sink
         while node in came:
             path.append((came[node], node))
             node = came[node]
-        push = min((room[ends] for ends in path), default=0.0)
+        if not path:  # what is left finds no room: every further round would look for the same path in vain
+            break
+        push = min(room[ends] for ends in path)
         for start, end in path:
             room[start, end] -= push
             room[end, start] += push
