The ledger counts lines that let workers in, and what no rule bears waits for seconds at most

Excluded: heads, marks, levels and withdrawals (booked and drafted are equal wherever undrops=0). Change: the gate asks the front what a worker's lines cost on top (Gate.added) before it orders, and takes what was drafted as booked (Gate.settle). Binds take up 2.5 s of the channel's usual pace at the most and deltas 1.5 s, besides their parts of the limit, which bind where the limit is short of that (all earlier deployments): no order that no rule bears is old when it leaves. tests/test_ledger.py compares 1,000 proxies' messages with the ledger one by one through joins, drains, restarts and lost streams.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -38,7 +38,8 @@
 LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
 CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
 DEMAND_SPAN, TOLD_FOR, MARKS_MOST = 4.0, 3, 256  # s of counts kept whole; intervals a word counts; unanswered
-ROOM_RULES, ROOM_DELTAS, SLOWEST_CHANNEL = 0.9, 0.45, 16.0  # of the lines that may wait; until answers come
+SLOWEST_CHANNEL = 16.0  # times slower than usual, until answers tell otherwise
+RULES, BINDS, DELTAS = (0.9, math.inf), (0.9, 2.5), (0.45, 1.5)  # of lines that may wait; s of the channel
 NEVER_OVER, SPAN_MOST, RATE_MOST = 8.0, 120.0, 1e5  # times the usual, s, reqs/s: over these nothing can be
 ADVISED_MOST = 2.0  # that all advice together may lift or lower an estimate by
 LAID_LEAST = 0.1  # of a server's estimate that stays for reqs, whatever connections it holds
@@ -149,6 +150,8 @@
         self.written: dict[int, list[float]] = {}
         self.orders: list[it.Order] = []
         self.lines: dict[int, int] = {}  # by proxy written by these orders
+        # lines that the front adds to those of these servers at a proxy (their being let in there)
+        self.added: Callable[[int, Iterable[int]], int] = lambda proxy, bes: 0
 
     def open(self, now: float) -> None:
         drained = (now - self.at) * self.terms.lines_per_s / SLOWEST_CHANNEL
@@ -169,22 +172,30 @@
         spread = most > 0 and self.at - max(times, default=-math.inf) >= self.terms.messages_span / most
         return most <= 0 or len(times) < (most if rules and spread else most * 2 // 3)
 
-    def room(self, proxies: Iterable[int], rules: bool) -> int:
-        """Lines that may still be ordered now for these proxies, beside heads and marks."""
-        taken = (self.waiting if rules else self.flying) + sum(self.lines.values())
+    def room(self, proxies: Iterable[int], way: tuple[float, float]) -> int:
+        """Lines that may still be ordered now for these proxies, beside heads and marks.  What no rule bears
+        must not wait long either: it would be old when it leaves, and what leaves behind it late."""
+        taken = (self.flying if way == DELTAS else self.waiting) + sum(self.lines.values())
         heads = sum(p not in self.lines for p in proxies) * (self.terms.head_lines + 1)
-        return int(self.terms.waiting_most * (ROOM_RULES if rules else ROOM_DELTAS) - taken - heads)
+        return int(min(self.terms.waiting_most * way[0], self.terms.lines_per_s * way[1]) - taken - heads)
 
-    def put(self, orders: list[it.Order], cost: dict[int, int], rules: bool) -> bool:
+    def put(self, orders: list[it.Order], cost: dict[int, int], way: tuple[float, float]) -> bool:
         """Take the orders if they fit; cost is lines by proxy, to which heads and marks are added."""
-        fits = not cost or sum(cost.values()) <= self.room(cost, rules)
-        if not fits or not all(p in self.lines or self._may_write(p, rules) for p in cost):
+        fits = not cost or sum(cost.values()) <= self.room(cost, way)
+        if not fits or not all(p in self.lines or self._may_write(p, way != DELTAS) for p in cost):
             return False
         self.orders += orders
         for p, lines in cost.items():
             self.lines[p] = self.lines.get(p, self.terms.head_lines + 1) + lines
         return True
 
+    def settle(self, written: dict[int, int]) -> None:
+        """In place of what was booked: lines by proxy, without heads, that the front made of it."""
+        booked = self.flight.pop(self.number, {})
+        self.flight[self.number] = {p: lines + self.terms.head_lines for p, lines in written.items()}
+        more = sum(self.flight[self.number].values()) - sum(booked.values())
+        self.waiting, self.flying = self.waiting + more, self.flying + more
+
     def close(self) -> tuple[list[it.Order], int]:
         """What goes out now, and the number of its mark (-1 where no proxy is written)."""
         orders, mark = self.orders, -1
@@ -599,7 +610,7 @@
             holders = enumerate(self.tables) if back else ()
             lines += [it.SetLine(z, i, t.want.get(i, 0.0)) for z, t in holders if i in t.sent]
             cordons.append(it.Cordon(i, not back))
-        if self.gate.put([*lines, *cordons], cost, True):
+        if self.gate.put([*lines, *cordons], cost, RULES):
             for cordon in cordons:
                 self.bes[cordon.be].cordoned = cordon.on
             for line in lines:
@@ -612,9 +623,10 @@
         for _, p in sorted(unbound):
             z, table = self.proxies[p].zone, self.tables[self.proxies[p].zone]
             if not table.users:  # nobody reads the table: laying it costs nothing
-                self.gate.put(self._changes(z, table, 0.0, 65536, []), {}, True)
-            lines = 2 + len(table.sent) + len(table.levels) + sum(self.bes[i].cordoned for i in table.sent)
-            if table.sent and self.gate.put([it.Bind(p, z, 0)], {p: lines}, True):
+                self.gate.put(self._changes(z, table, 0.0, 65536, []), {}, RULES)
+            told = [i for i in table.sent if not self.bes[i].cordoned]  # others are told of as shut out
+            lines = 1 + 2 * len(table.sent) - len(told) + len(table.levels) + self.gate.added(p, told)
+            if table.sent and self.gate.put([it.Bind(p, z, 0)], {p: lines}, BINDS):
                 table.users[p] = None
 
     def _send_delta(self, z: int, table: Table) -> None:
@@ -627,10 +639,12 @@
         stays = any(i in table.want and i not in heavy for i in was)  # else lines come before others go
         if not table.users or not table.want or (table.pace == WAITING and not heavy and stays):
             return
-        rules, sent, levels = bool(heavy) or not stays, dict(table.sent), dict(table.levels)
-        room = max(0, self.gate.room(table.users, rules) // len(table.users))
+        way, sent, levels = RULES if heavy or not stays else DELTAS, dict(table.sent), dict(table.levels)
+        room = max(0, self.gate.room(table.users, way) // len(table.users))
         orders = self._changes(z, table, MOVE, room, heavy if stays else [])
-        if not self.gate.put(orders, dict.fromkeys(table.users, len(orders)) if orders else {}, rules):
+        laid = [o.be for o in orders if isinstance(o, it.SetLine) and o.weight > 0]
+        cost = {p: len(orders) + self.gate.added(p, laid) for p in table.users} if orders else {}
+        if not self.gate.put(orders, cost, way):
             table.sent, table.levels = sent, levels
 
     def _changes(self, z: int, table: Table, past: float, most: int, only: list[int]) -> list[it.Order]:
--- /dev/null
+++ b/cottonladder/lab/many.py
@@ -0,0 +1,164 @@
+"""One manager of a large fleet in memory: its ladder and spread, the channel that its messages wait in, and
+the proxies that apply and answer them.  Seeded; time is the caller's, and nothing touches a socket."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from time import perf_counter
+
+from ..decisions import interface as it
+from ..decisions.rules import BEAT, Ladder
+from ..state.spread import Spread
+from ..state.workers import Workers
+from ..wire.resp import MESSAGE_MOST, Reader
+
+KINDS = ("fetch", "release")
+TERMS = it.Terms(
+    seed=7, managers=5, zones=4, kinds=(it.ReqKind(1.0, 1.0), it.ReqKind(1.0, 3.0)), proxies=1600,
+    list_on_request=False, ask_within=10.0, probing=True, peers=True, levels="ratio", slices=0,
+    single_owner=False, lines_per_s=3200.0, head_lines=10, waiting_most=50000.0, messages_most=0,
+    messages_span=10.0, cold_share=0.15, fall_multiple=3.0, avoids=True, warm_after=17.0,
+    cross_zone_price=0.08, probe_price=0.02,
+)  # fmt: skip
+Channel = deque[tuple[int, bytes, int]]  # proxy, message, lines: what waits, the oldest first
+
+
+def lines_of(message: bytes, heads: int) -> int:
+    """What a message counts in the channel, read off its bytes: one for each line, worker shut out or let
+    back, level, mark and `replace`, and its head."""
+    lines = heads
+    for words in Reader(MESSAGE_MOST).feed(message):
+        said = dict(zip(words[1::2], words[2::2], strict=True))
+        lines += sum(len(said[name].split(b",")) for name in (b"rows", b"drop", b"undrop") if name in said)
+        lines += sum(name in said for name in (b"replace", b"gate", b"stamp"))
+    return lines
+
+
+@dataclass
+class Held:
+    """A proxy as it stands: its rows by worker id, whom it shuts out, when it joined."""
+
+    rows: set[bytes] = field(default_factory=set)
+    out: set[bytes] = field(default_factory=set)
+    since: float = 0.0
+
+    def apply(self, message: bytes) -> int | None:
+        """The number of the message's mark, if it has one."""
+        mark = None
+        for words in Reader(MESSAGE_MOST).feed(message):
+            said = dict(zip(words[1::2], words[2::2], strict=True))
+            if b"replace" in said:
+                self.rows.clear()
+            for row in said.get(b"rows", b"").split(b","):
+                be, _, weight = row.partition(b":")
+                if be:
+                    (self.rows.add if float(weight) > 0 else self.rows.discard)(be)
+            self.out |= {be for be in said.get(b"drop", b"").split(b",") if be}
+            self.out -= set(said.get(b"undrop", b"").split(b","))
+            mark = int(said[b"stamp"]) if b"stamp" in said else mark
+        return mark
+
+
+class Many:
+    """`pace` is the part of the usual pace at which the channel sends, `answers` the part of marks that are
+    answered.  `spent` has the worst seconds of each part of a batch, by the name that the caller gives it."""
+
+    def __init__(self, terms: it.Terms, pace: float = 1.0, answers: float = 1.0) -> None:
+        self.terms, self.pace, self.answers, self.now = terms, pace, answers, 1000.0
+        self.random = random.Random(terms.seed)
+        self.workers = Workers()
+        self.ladder = Ladder(terms)
+        self.spread = Spread(list(KINDS), terms.managers, self.workers)
+        self.ladder.gate.added = self.spread.added
+        self.proxies: dict[int, Held] = {}
+        self.channel: Channel = deque()
+        self.credit, self.longest = 0.0, 0
+        self.due: list[tuple[float, it.Input]] = []  # answers on their way
+        self.unbooked: list[str] = []  # messages that cost more than was booked for them
+        self.spent: dict[tuple[str, str], float] = {}
+        self.written = 0
+        self.token = 0
+        self.heard: Callable[[], Iterable[it.Input]] = tuple  # what else comes in at each look
+        self.orders: list[it.Order] = []
+
+    def entry(self, name: str, zone: int, mode: it.Mode = it.Mode.READY, started: float = 0.0) -> it.Entry:
+        return it.Entry(self.workers.learn(name, "127.0.0.1:1", started), zone, mode, 1.0, started)
+
+    def waiting(self) -> int:
+        return sum(lines for _, _, lines in self.channel)
+
+    def step(self, name: str, inputs: Iterable[it.Input]) -> None:
+        inputs = list(inputs)
+        begun = perf_counter()
+        self.spread.hear(inputs)
+        heard = perf_counter()
+        self.orders = self.ladder.decide(self.now, inputs)
+        decided = perf_counter()
+        mark = -1
+        for order in self.orders:
+            if isinstance(order, it.WakeIn):
+                self.token = order.token
+            elif type(order) not in (it.Follow, it.FetchList, it.Probe, it.Tell, it.Remark):
+                if why := self.spread.take(order):
+                    raise AssertionError(why)
+                mark = order.number if isinstance(order, it.Mark) else mark
+        booked = dict(self.ladder.gate.flight.get(mark, {}))
+        if mark >= 0:
+            self.ladder.gate.settle(self.spread.lines())
+        spread = perf_counter()
+        messages = list(self.spread.messages())
+        ended = perf_counter()
+        parts = {"module": decided - heard, "spread": heard - begun + spread - decided}
+        parts["write"] = ended - spread
+        for part, took in {**parts, "all": ended - begun}.items():
+            self.spent[name, part] = max(took, self.spent.get((name, part), 0.0))
+        settled = self.ladder.gate.flight.get(mark, {})
+        for proxy, message in messages:
+            lines = lines_of(message, self.terms.head_lines)
+            self.channel.append((proxy, message, lines))
+            self.written += len(message)
+            if mark >= 0 and (lines > booked.get(proxy, 0) or lines != settled.get(proxy, 0)):
+                told = f"booked {booked.get(proxy, 0)}, settled {settled.get(proxy, 0)}, written {lines}"
+                self.unbooked.append(f"{self.now - 1000.0:.2f} s {name}: proxy {proxy}: {told}")
+        self.longest = max(self.longest, self.waiting())
+
+    def join(self, proxies: Iterable[int], rate: float = 1.0, fresh: bool = False) -> None:
+        new = []
+        for p in proxies:
+            self.proxies.setdefault(p, Held()).since = self.now
+            new.append(it.Joined(p, p % self.terms.zones, rate * self.random.expovariate(1.0), fresh))
+        self.step("joins", new)
+
+    def leave(self, proxies: Iterable[int]) -> None:
+        """Their streams break; what waits for them is still sent, and is lost."""
+        gone = [p for p in proxies if self.proxies.pop(p, None) is not None]
+        self.step("leaves", [it.Left(p) for p in gone])
+
+    def send(self, seconds: float) -> None:
+        """What the channel sends in this time; its messages are applied and answered."""
+        self.credit += seconds * self.terms.lines_per_s * self.pace
+        while self.channel and self.channel[0][2] <= self.credit:
+            proxy, message, lines = self.channel.popleft()
+            self.credit -= lines
+            held = self.proxies.get(proxy)
+            if held is not None and (mark := held.apply(message)) is not None:
+                if self.random.random() < self.answers:
+                    self.due.append((self.now + self.random.uniform(0.1, 0.6), it.Answered(proxy, mark, 0.3)))
+        if not self.channel:
+            self.credit = 0.0
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now += BEAT
+            self.send(BEAT)
+            came = [item for at, item in self.due if at <= self.now]
+            self.due = [(at, item) for at, item in self.due if at > self.now]
+            self.step("look", [*came, *self.heard(), it.Wake(self.token)])
+
+
+def site(proxies: int = 1600, zones: int = 4, managers: int = 5, waiting_most: float = 50000.0) -> it.Terms:
+    return replace(TERMS, proxies=proxies, zones=zones, managers=managers, waiting_most=waiting_most)
--- a/cottonladder/lifecycle/owner.py
+++ b/cottonladder/lifecycle/owner.py
@@ -84,6 +84,7 @@
         self.late: Callable[[], None] = lambda: None  # background work makes way
         self.remarked: Callable[[str], None] = lambda words: None  # told each change of mode
         self._ladder, self._inbox, self._roster, self._spread = ladder, inbox, roster, spread
+        ladder.gate.added = spread.added
         self._clock = Clock()
         self._set, self._timers = 0, dict[int, asyncio.TimerHandle]()
         self._worst: dict[str, float] = {}
@@ -119,12 +120,15 @@
                 plan.hear(now, item)
             inputs += plan.inputs(now)
         self._spread.hear(inputs)
-        for order in self._ladder.decide(now, inputs):
+        orders = self._ladder.decide(now, inputs)
+        for order in orders:
             carry = self._carry.get(type(order))
             if carry is not None:
                 carry(order)
             elif why := self._spread.take(order):
                 self.log.error("order left out", order=type(order).__name__, why=why)
+        if any(isinstance(order, it.Mark) for order in orders):
+            self._ladder.gate.settle(self._spread.lines())
         for proxy, data in self._spread.messages():
             self._roster.send(proxy, data)
         for plan in self._beside:
--- a/cottonladder/state/spread.py
+++ b/cottonladder/state/spread.py
@@ -122,12 +122,20 @@
                 masks[level] = masks.get(level, 0) | 1 << k
         return [("gate", mask, 0, *level) for level, mask in masks.items()]
 
+    def added(self, proxy: int, bes: Iterable[int]) -> int:
+        """Lines that come on top of those of these workers, none of them shut out, at this proxy."""
+        told = self._told.get(proxy)
+        return sum(self._shut(told, be) is not False for be in bes) if told else 0
+
+    def _shut(self, told: Told, be: int) -> bool | None:
+        """Whether a proxy shuts this worker out; None: in doubt."""
+        doubtful = self._workers.doubtful(be) or (not told.sure and self._workers.restarted(be))
+        return told.out.get(be, None if doubtful else False)
+
     def _let_in(self, proxy: int, be: int) -> list[Op]:
         """A line's worker as this manager has it: shut out, or let in where someone may have shut it out."""
-        told = self._told[proxy]
-        out = be in self._out
-        doubtful = self._workers.doubtful(be) or (not told.sure and self._workers.restarted(be))
-        if told.out.get(be, None if doubtful else False) == out:
+        told, out = self._told[proxy], be in self._out
+        if self._shut(told, be) == out:
             return []
         told.out[be] = out
         return [("drop" if out else "undrop", 0, be, 0.0, 0)]
