--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -38,10 +38,12 @@
 LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
 CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
 DEMAND_SPAN, TOLD_FOR, MARKS_MOST = 4.0, 3, 256  # s of counts kept whole; intervals a word counts; unanswered
+BOUND_WITHIN, SKEW, LINES_LEAST = 4.0, 2.0, 8  # s to bind so many times a manager's part; lines of a table
 SLOWEST_CHANNEL = 16.0  # times slower than usual, until answers tell otherwise
 RULES, BINDS, DELTAS = (0.9, math.inf), (0.9, 2.5), (0.45, 1.5)  # of lines that may wait; s of the channel
 NEVER_OVER, SPAN_MOST, RATE_MOST = 8.0, 120.0, 1e5  # times the usual, s, reqs/s: over these nothing can be
 ADVISED_MOST = 2.0  # that all advice together may lift or lower an estimate by
+GOLDEN = (math.sqrt(5.0) - 1.0) / 2.0  # turns between neighbours that fill a ring evenly
 LAID_LEAST = 0.1  # of a server's estimate that stays for reqs, whatever connections it holds
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
@@ -71,16 +73,18 @@
         self.bins = [n * keep for n in self.bins]
 
 
-class Proxy:  # with counts of reqs by kind, and the s that they cover
+class Proxy:  # with counts of reqs by kind, and the s that they cover; the table that it reads
     def __init__(self, zone: int, rate: float, kinds: int) -> None:
+        self.table: Table | None = None
         self.zone, self.rate, self.count, self.spans = zone, rate, [rate / kinds] * kinds, [1.0] * kinds
 
     def came(self, k: int) -> float:
         return self.count[k] / self.spans[k]
 
 
-class Table:  # what a zone's proxies were sent, what they should hold, who has yet to answer its mark
-    def __init__(self) -> None:
+class Table:  # what proxies of a zone were sent, what they should hold, who has yet to answer its mark
+    def __init__(self, number: int, zone: int) -> None:
+        self.number, self.zone, self.reqs = number, zone, 0.0  # a second, of its users
         self.sent, self.want, self.levels = (dict[int, float]() for _ in range(3))
         self.users: dict[int, None] = {}  # proxies that read it
         self.pace, self.mark, self.at, self.answers, self.asked = IDLE, -1, 0.0, 0, 0
@@ -138,6 +142,17 @@
     return [[room[first + g, 1 + z] for g in range(len(caps))] for z in range(len(demand))]
 
 
+def cut(ring: dict[int, float], start: float, end: float) -> dict[int, float]:
+    """The weights that lie from start to end on a ring of length 1; slivers of a line are left out."""
+    at, part, unit = 0.0, dict[int, float](), max(1e-9, sum(ring.values()))
+    for i, weight in ring.items():
+        upto = at + weight / unit
+        over = sum(max(0.0, min(upto + n, end) - max(at + n, start)) for n in (0, 1))
+        part.update({i: over / (end - start)} if over > MOVE * (upto - at) else {})
+        at = upto
+    return part
+
+
 class Gate:
     """The one way out for orders to proxies: keeps the queue rule for every path by a ledger of lines.
     Deltas go by answers alone (a channel may be a dozen times slower).  Rule-bearing orders can't wait for
@@ -173,8 +188,7 @@
         return most <= 0 or len(times) < (most if rules and spread else most * 2 // 3)
 
     def room(self, proxies: Iterable[int], way: tuple[float, float]) -> int:
-        """Lines that may still be ordered now for these proxies, beside heads and marks.  What no rule bears
-        must not wait long either: it would be old when it leaves, and what leaves behind it late."""
+        """Lines that may still be ordered, beside heads and marks; what waits long is old when it leaves."""
         taken = (self.flying if way == DELTAS else self.waiting) + sum(self.lines.values())
         heads = sum(p not in self.lines for p in proxies) * (self.terms.head_lines + 1)
         return int(min(self.terms.waiting_most * way[0], self.terms.lines_per_s * way[1]) - taken - heads)
@@ -219,7 +233,7 @@
         self.tightest = min(k.response_target for k in terms.kinds)
         self.bes: dict[int, Be] = {}
         self.proxies: dict[int, Proxy] = {}
-        self.tables = [Table() for _ in self.zones]
+        self.tables, self.numbers = [Table(z, z) for z in self.zones], terms.zones  # of tables so far
         self.told: dict[int, tuple[float, list[float]]] = {}  # by other managers: when, what
         self.out: list[it.Order] = []  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.usual = 0.0
@@ -378,15 +392,15 @@
 
     def _left(self, left: it.Left) -> None:
         if (proxy := self.proxies.pop(left.proxy, None)) is not None:
-            self.tables[proxy.zone].users.pop(left.proxy, None)
+            proxy.table.users.pop(left.proxy, None) if proxy.table else None
 
     def _answered(self, a: it.Answered) -> None:
         self.gate.answered(a.mark, a.proxy)
-        for table in self.tables:
-            if table.mark == a.mark and a.proxy in table.users:
-                table.answers += 1
-                if table.answers > table.asked / 2 and table.pace == WAITING:
-                    table.pace, self.due = PACE[table.pace, "answered"], True
+        table = self.proxies[a.proxy].table if a.proxy in self.proxies else None
+        if table and table.mark == a.mark:
+            table.answers += 1
+            if table.answers > table.asked / 2 and table.pace == WAITING:
+                table.pace, self.due = PACE[table.pace, "answered"], True
 
     def _in(self, *states: str) -> dict[int, Be]:
         return {i: be for i, be in self.bes.items() if be.state in states}
@@ -563,7 +577,7 @@
         cost = [[price(z, g) for g in self.zones] for z in self.zones]
         flow = least_cost_flow(demand, [c * above for c in room], cost)
         warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
-        for z, table in enumerate(self.tables):
+        for z in self.zones:
             able = [g for g in self.zones if any(i in warm for i in groups[g])] or list(self.zones)
             home = min(able, key=lambda g: (g != z, not groups[g], least[z][g]))
             flow[z][home] += max(0.0, demand[z] - sum(flow[z]))
@@ -574,7 +588,7 @@
             if warm and not any(i in warm for i in want):
                 want = {i: c / sum(warm.values()) for i, c in warm.items()}
             most = COLD_OVER / max(1.0, self.strained) * sum(demand) / max(self.whole * total, 1e-9)
-            table.want = {i: w if i in warm else min(w, most * full[i]) for i, w in want.items()}
+            self._deal(z, {i: w if i in warm else min(w, most * full[i]) for i, w in want.items()}, warm)
         for g in self.zones:
             total = sum(flow[z][g] for z in self.zones)
             for i in groups[g]:
@@ -582,15 +596,47 @@
             mine = sum(flow[z][g] * (1.0 - others[z] / demand[z]) for z in self.zones if demand[z] > 0)
             self.part[g] = mine / total if total > 0 else 1.0
 
+    def _tables(self, z: int, lines: int) -> list[Table]:
+        """A zone's tables: several, of a few lines each, where binding twice a manager's part of the proxies
+        to a whole one would take too long.  Dealt anew only if far too few."""
+        count = self.terms.proxies * min(1.0, SKEW / self.terms.managers)
+        each = BOUND_WITHIN * self.terms.lines_per_s / max(1.0, count)  # lines that a proxy may cost
+        most = max(LINES_LEAST, int(each) - self.terms.head_lines - 2)
+        parts = 1 if lines <= most else math.ceil(2 * lines / most)  # each server stands in two of them
+        tables = [t for t in self.tables if t.zone == z]
+        if parts > 2 * len(tables) or (parts != len(tables) and not any(t.users for t in tables)):
+            for p in [p for t in tables for p in t.users]:
+                self.proxies[p].table = None
+            tables = [Table((self.numbers + n) % it.ALL_TABLES, z) for n in range(parts)]
+            self.numbers += parts
+            self.tables = [t for t in self.tables if t.zone != z] + tables
+        return tables
+
+    def _deal(self, z: int, want: dict[int, float], warm: dict[int, float]) -> None:
+        """What a zone should hold, as its tables.  Servers lie on a ring by their weights; a table is cut out
+        of it from where its proxies' reqs begin to where the next one's end, so that all together lay the
+        zone's weights.  Harms where a table's few servers fail together."""
+        tables = self._tables(z, len(want))
+        for t in tables:
+            t.reqs = sum(self.proxies[p].came(k) for p in t.users for k in range(len(self.terms.kinds)))
+        least = max(1e-9, sum(t.reqs for t in tables)) / len(tables) / 2  # for who is yet to be bound
+        reqs = [max(t.reqs, least) for t in tables]
+        edges = [sum(reqs[:n]) / sum(reqs) for n in range(len(reqs) + 1)] + [1.0 + reqs[0] / sum(reqs)]
+        ring = dict(sorted(want.items(), key=lambda line: line[0] * GOLDEN % 1.0))
+        for n, t in enumerate(tables):
+            t.want = want if len(tables) <= 2 else cut(ring, edges[n], edges[n + 2])
+            if warm and not t.want.keys() & warm.keys():
+                t.want = cut({i: w for i, w in ring.items() if i in warm}, edges[n], edges[n + 2])
+
     def _send(self) -> None:
         """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; deltas last."""
         self.gate.open(self.now)
         self._send_cordons([i for i, b in self._in(GONE, *LIVE).items() if (b.state == GONE) != b.cordoned])
         self._send_binds() if not self.terms.slices else None
-        for z, table in enumerate(self.tables):
+        for table in self.tables:
             if self.now - table.at > ANSWER_WAIT:
                 table.pace = PACE.get((table.pace, "late"), table.pace)
-            self._send_delta(z, table)
+            self._send_delta(table)
         wrote, (orders, mark) = self.gate.lines, self.gate.close()
         self.out += orders
         for table in self.tables:
@@ -604,32 +650,33 @@
         for i in changed:
             back = self.bes[i].state != GONE
             for p, proxy in self.proxies.items():
-                table = self.tables[proxy.zone]
-                if i in table.sent or p not in table.users:  # others get no message, so they answer no mark
-                    cost[p] = cost.get(p, 0) + 1 + (back and i in table.sent)
-            holders = enumerate(self.tables) if back else ()
-            lines += [it.SetLine(z, i, t.want.get(i, 0.0)) for z, t in holders if i in t.sent]
+                table = proxy.table
+                if table is None or i in table.sent:  # others get no message, so they answer no mark
+                    cost[p] = cost.get(p, 0) + 1 + (back and table is not None)
+            holders = self.tables if back else ()
+            lines += [it.SetLine(t.number, i, t.want.get(i, 0.0)) for t in holders if i in t.sent]
             cordons.append(it.Cordon(i, not back))
         if self.gate.put([*lines, *cordons], cost, RULES):
             for cordon in cordons:
                 self.bes[cordon.be].cordoned = cordon.on
-            for line in lines:
-                self.tables[line.table].hold(line.be)
+            for table in self.tables:
+                for line in lines:
+                    table.hold(line.be) if line.table == table.number else None
         elif len(changed) > 1 and self.gate.waiting < self.terms.waiting_most / 4:
             self._send_cordons(changed[: len(changed) // 2])
 
     def _send_binds(self) -> None:
-        unbound = [(-x.rate, p) for p, x in self.proxies.items() if p not in self.tables[x.zone].users]
-        for _, p in sorted(unbound):
-            z, table = self.proxies[p].zone, self.tables[self.proxies[p].zone]
+        for _, p in sorted((-x.rate, p) for p, x in self.proxies.items() if x.table is None):
+            x = self.proxies[p]
+            table = min((t for t in self.tables if t.zone == x.zone), key=lambda t: (t.reqs, t.number))
             if not table.users:  # nobody reads the table: laying it costs nothing
-                self.gate.put(self._changes(z, table, 0.0, 65536, []), {}, RULES)
+                self.gate.put(self._changes(table, 0.0, 65536, []), {}, RULES)
             told = [i for i in table.sent if not self.bes[i].cordoned]  # others are told of as shut out
             lines = 1 + 2 * len(table.sent) - len(told) + len(table.levels) + self.gate.added(p, told)
-            if table.sent and self.gate.put([it.Bind(p, z, 0)], {p: lines}, BINDS):
-                table.users[p] = None
+            if table.sent and self.gate.put([it.Bind(p, table.number, 0)], {p: lines}, BINDS):
+                table.users[p], x.table, table.reqs = None, table, table.reqs + x.rate
 
-    def _send_delta(self, z: int, table: Table) -> None:
+    def _send_delta(self, table: Table) -> None:
         """In pieces, largest changes first, as a whole table would not fit for long over many proxies.  Too
         heavy lines of cold or shut out servers, and tables with none left, wait for no answers."""
         was = {i: w for i, w in table.sent.items() if not self.bes[i].cordoned}
@@ -641,25 +688,25 @@
             return
         way, sent, levels = RULES if heavy or not stays else DELTAS, dict(table.sent), dict(table.levels)
         room = max(0, self.gate.room(table.users, way) // len(table.users))
-        orders = self._changes(z, table, MOVE, room, heavy if stays else [])
+        orders = self._changes(table, MOVE, room, heavy if stays else [])
         laid = [o.be for o in orders if isinstance(o, it.SetLine) and o.weight > 0]
         cost = {p: len(orders) + self.gate.added(p, laid) for p in table.users} if orders else {}
         if not self.gate.put(orders, cost, way):
             table.sent, table.levels = sent, levels
 
-    def _changes(self, z: int, table: Table, past: float, most: int, only: list[int]) -> list[it.Order]:
+    def _changes(self, table: Table, past: float, most: int, only: list[int]) -> list[it.Order]:
         """At most so many orders that turn what was sent into what is wanted, which then count as sent."""
         orders: list[it.Order] = []
         for k, share in self._levels().items() if self.terms.levels != "none" else ():
             if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
                 table.levels[k] = share
-                orders.append(it.Level(z, self._let_in(k, share), 1 << k, it.Further.NEVER_RAN))
+                orders.append(it.Level(table.number, self._let_in(k, share), 1 << k, it.Further.NEVER_RAN))
         moves = {i: table.want.get(i, 0.0) - table.sent.get(i, 0.0) for i in only or table.want | table.sent}
         moves = {i: d for i, d in moves.items() if abs(d) > past * table.sent.get(i, 0.0)}
         bare = not any(i in table.want for i in table.sent)
         rank = {i: (bare and d < 0, 0.0 if self.bes[i].cordoned else -abs(d)) for i, d in moves.items()}
         for i in sorted(moves, key=rank.__getitem__)[: max(0, most - len(orders))]:
-            orders.append(it.SetLine(z, i, table.want.get(i, 0.0)))
+            orders.append(it.SetLine(table.number, i, table.want.get(i, 0.0)))
             table.hold(i)
         return orders
 
