--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -37,14 +37,14 @@
         fleet = self.fleet(200)
         fleet.join(range(0, 1600, 4))  # all of one zone
         fleet.run(12)
-        self.assertLess(self.uneven(fleet, 50)[1], 1.6)  # the others' proxies are taken to fill theirs
+        self.assertLess(self.uneven(fleet, 50)[1], 1.2)  # 50, as the others' proxies are taken to fill theirs
         gone = tuple(fleet.entry(f"s-{n:04x}", n % 4, it.Mode.DRAINING) for n in range(0, 120))
         fleet.step("list", [it.Listing(it.News.DELTA, gone)])
         fleet.run(12)
         load = fleet.load()
         self.assertFalse({f"s-{n:04x}".encode() for n in range(0, 120)} & load.keys())
         self.assertTrue(all(held.rows for held in fleet.proxies.values()))
-        self.assertGreater(len(load), 60)
+        self.assertEqual(len(load), 20)
 
     def test_a_small_fleet_has_one_table_a_zone(self) -> None:
         fleet = self.fleet(24, proxies=60)
