Drains by lines instead of withdrawals, who waits longest is bound first, smaller cuts

Excluded: the list (told at 18.28), CPU (longest batch 251 ms once), lost answers. Change: who is bound hears of a worker that leaves by a line of weight 0, so nothing is shut out, and nothing has to be let in again at another manager; who is not bound is bound, by age once it has waited 0.4 of the grace, and for so long those bound wait with drains, which then go together; shut out is only where no table can be laid. The size of a table follows from the settings: all proxies bound within half of the drains' grace (read now), 8 lines at the least. A cut ends nearer where it is many lines. Cold servers' heavy lines are judged by all tables together. What only another manager may have shut out is let in by the next change of its line, unless under a quarter of a table's workers are sure. standing() and recollect() are in decisions/views.py.

--- a/cottonladder/decisions/interface.py
+++ b/cottonladder/decisions/interface.py
@@ -69,6 +69,7 @@
     waiting_most: float
     messages_most: int
     messages_span: float
+    drain_grace: float
     cold_share: float
     fall_multiple: float
     avoids: bool
--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -38,7 +38,8 @@
 LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
 CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
 DEMAND_SPAN, TOLD_FOR, MARKS_MOST = 4.0, 3, 256  # s of counts kept whole; intervals a word counts; unanswered
-BOUND_WITHIN, SKEW, LINES_LEAST = 4.0, 2.0, 8  # s to bind so many times a manager's part; lines of a table
+BOUND_WITHIN, LINES_LEAST = 0.5, 8  # of the drains' grace, to bind all proxies; lines of a table
+GONE_WAIT = 0.4  # of the drains' grace that who is bound may wait to hear of one, for who is not
 SLOWEST_CHANNEL = 16.0  # times slower than usual, until answers tell otherwise
 RULES, BINDS, DELTAS = (0.9, math.inf), (0.9, 2.5), (0.45, 1.5)  # of lines that may wait; s of the channel
 NEVER_OVER, SPAN_MOST, RATE_MOST = 8.0, 120.0, 1e5  # times the usual, s, reqs/s: over these nothing can be
@@ -74,9 +75,10 @@
 
 
 class Proxy:  # with counts of reqs by kind, and the s that they cover; the table that it reads
-    def __init__(self, zone: int, rate: float, kinds: int) -> None:
+    def __init__(self, zone: int, rate: float, kinds: int, since: float) -> None:
         self.table: Table | None = None
-        self.zone, self.rate, self.count, self.spans = zone, rate, [rate / kinds] * kinds, [1.0] * kinds
+        self.since, self.zone, self.rate = since, zone, rate
+        self.count, self.spans = [rate / kinds] * kinds, [1.0] * kinds
 
     def came(self, k: int) -> float:
         return self.count[k] / self.spans[k]
@@ -165,8 +167,8 @@
         self.written: dict[int, list[float]] = {}
         self.orders: list[it.Order] = []
         self.lines: dict[int, int] = {}  # by proxy written by these orders
-        # lines that the front adds to those of these servers at a proxy (their being let in there)
-        self.added: Callable[[int, Iterable[int]], int] = lambda proxy, bes: 0
+        # lines that the front adds to those of these servers at a proxy (they are let in), or to its table
+        self.added: Callable[[int, Iterable[int], bool], int] = lambda proxy, bes, whole: 0
 
     def open(self, now: float) -> None:
         drained = (now - self.at) * self.terms.lines_per_s / SLOWEST_CHANNEL
@@ -324,27 +326,9 @@
                 if past.leaving or past.out:
                     self._step(past.be, "leaving" if past.leaving else "bad", "remembered")
 
-    def recollect(self, bes: Iterable[int], proxies: Iterable[int]) -> it.Remembered:
-        """What the next life may start from, of these; in parts, as all of a large fleet takes too long."""
-        pasts = tuple(
-            it.Past(i, be.started, be.base, be.slowness, be.state == OUT, be.state == GONE)
-            for i in bes if (be := self.bes.get(i)) is not None
-        )  # fmt: skip
-        here = ((p, self.proxies[p]) for p in proxies if p in self.proxies)
-        rates = tuple((p, sum(map(x.came, range(len(x.count))))) for p, x in here)
-        return it.Remembered(self.gate.number, pasts, rates)
-
     def _aside(self, aside: it.Aside) -> None:
         self.gate.waiting += aside.lines
 
-    def standing(self) -> dict[int, it.Standing]:
-        """Each server as last solved."""
-        return {
-            i: it.Standing(be.zone, self.full.get(i, 0.0) if be.state in LIVE else 0.0, self._cold(be),
-                           be.due if be.state == GONE else -1.0, math.sqrt(be.base * be.mean()))
-            for i, be in self.bes.items()
-        }  # fmt: skip
-
     def _tally(self, t: it.Tally) -> None:
         if (be := self.bes.get(t.be)) is None or t.tries <= 0 or not likely(t.tries, t.span, self.usual):
             return
@@ -386,7 +370,7 @@
     def _joined(self, j: it.Joined) -> None:
         self._left(it.Left(j.proxy))
         rate = min(self.rates.pop(j.proxy, j.reqs_per_s), RATE_MOST)
-        self.proxies[j.proxy] = Proxy(j.zone, rate, len(self.terms.kinds))
+        self.proxies[j.proxy] = Proxy(j.zone, rate, len(self.terms.kinds), self.now)
         self.gate.written.pop(j.proxy, None)
         self.solve_at = self.now
 
@@ -431,7 +415,7 @@
             elif be.state == OUT and self.now >= be.due and (far[be.zone] or not self.terms.probing):
                 self._step(i, "due", "waited")
 
-    def _cold(self, be: Be) -> bool:
+    def cold(self, be: Be) -> bool:
         return be.started > 0 and self.now - be.started < self.terms.warm_after
 
     def _ease(self, be: Be) -> float:  # a ramp's share of average: a quarter, doubled each interval (design)
@@ -442,7 +426,7 @@
         self._forget()
         for be in self.bes.values():
             rate = sum(done / span for done, span in be.done.values() if span > 0)
-            if be.load >= 0 and rate > 0 and self.part[be.zone] >= PART_LEAST and not self._cold(be):
+            if be.load >= 0 and rate > 0 and self.part[be.zone] >= PART_LEAST and not self.cold(be):
                 be.measured.append((rate / self.part[be.zone], max(LOAD_FLOOR, be.load)))
             be.done.clear()
             if (mean := be.mean()) > 0:
@@ -473,7 +457,7 @@
         bound = sum(len(t.users) for t in self.tables) == len(self.proxies)
         held = {i for t in self.tables for i in t.sent}
         for i, be in self._in(GONE).items() if bound else ():
-            if be.cordoned and self.now - be.due > GONE_FOR and i not in held and not be.laid:
+            if self.now - be.due > GONE_FOR and i not in held and not be.laid:
                 del self.bes[i]
                 self.out += [it.Cordon(i, False), it.Forget(i)]
 
@@ -500,10 +484,10 @@
         self.whole = sum(full.values())  # before any trouble: what cold servers' parts are measured by
         average, cold = self.whole / len(full) if full else 1.0, dict[int, float]()
         for i, be in live.items():
-            full[i] *= be.slowness * (min(1.0, be.advised) if self._cold(be) else be.advised)
+            full[i] *= be.slowness * (min(1.0, be.advised) if self.cold(be) else be.advised)
             if be.state == RAMP:
                 full[i] = min(full[i], average * self._ease(be))
-            if self._cold(be):
+            if self.cold(be):
                 age = (self.now - be.started) / self.terms.warm_after
                 cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
         # Avoiding proxies turn to cold servers at any weight, before sums tell; harms deploys in overload.
@@ -576,7 +560,7 @@
         above = level * (1.0 + SLACK + SLACK_FOR_PRICE * self.terms.cross_zone_price)
         cost = [[price(z, g) for g in self.zones] for z in self.zones]
         flow = least_cost_flow(demand, [c * above for c in room], cost)
-        warm = {i: c for i, c in full.items() if not self._cold(self.bes[i])}
+        warm = {i: c for i, c in full.items() if not self.cold(self.bes[i])}
         for z in self.zones:
             able = [g for g in self.zones if any(i in warm for i in groups[g])] or list(self.zones)
             home = min(able, key=lambda g: (g != z, not groups[g], least[z][g]))
@@ -596,13 +580,8 @@
             mine = sum(flow[z][g] * (1.0 - others[z] / demand[z]) for z in self.zones if demand[z] > 0)
             self.part[g] = mine / total if total > 0 else 1.0
 
-    def _tables(self, z: int, lines: int) -> list[Table]:
-        """A zone's tables: several, of a few lines each, where binding twice a manager's part of the proxies
-        to a whole one would take too long.  Dealt anew only if far too few."""
-        count = self.terms.proxies * min(1.0, SKEW / self.terms.managers)
-        each = BOUND_WITHIN * self.terms.lines_per_s / max(1.0, count)  # lines that a proxy may cost
-        most = max(LINES_LEAST, int(each) - self.terms.head_lines - 2)
-        parts = 1 if lines <= most else math.ceil(2 * lines / most)  # each server stands in two of them
+    def _tables(self, z: int, lines: int, most: int) -> list[Table]:  # dealt anew only if far too few
+        parts = 1 if lines <= most else math.ceil(2 * lines / most)
         tables = [t for t in self.tables if t.zone == z]
         if parts > 2 * len(tables) or (parts != len(tables) and not any(t.users for t in tables)):
             for p in [p for t in tables for p in t.users]:
@@ -613,30 +592,48 @@
         return tables
 
     def _deal(self, z: int, want: dict[int, float], warm: dict[int, float]) -> None:
-        """What a zone should hold, as its tables.  Servers lie on a ring by their weights; a table is cut out
-        of it from where its proxies' reqs begin to where the next one's end, so that all together lay the
-        zone's weights.  Harms where a table's few servers fail together."""
-        tables = self._tables(z, len(want))
+        """What a zone should hold, as its tables: several, where binding all proxies there are to whole ones
+        would take too long for the drains' grace.  Servers lie on a ring by their weights, and a table is cut
+        out of it from where its proxies' reqs begin to where the next one's end, or nearer if these are many:
+        together they lay the zone's weights.  Harms where a table's few servers fail together."""
+        each = BOUND_WITHIN * self.terms.drain_grace * self.terms.lines_per_s / max(1, self.terms.proxies)
+        most = max(LINES_LEAST, int(each) - self.terms.head_lines - 2)
+        tables = self._tables(z, sum(self.bes[i].zone == z for i in want) or len(want), most)
         for t in tables:
             t.reqs = sum(self.proxies[p].came(k) for p in t.users for k in range(len(self.terms.kinds)))
         least = max(1e-9, sum(t.reqs for t in tables)) / len(tables) / 2  # for who is yet to be bound
         reqs = [max(t.reqs, least) for t in tables]
         edges = [sum(reqs[:n]) / sum(reqs) for n in range(len(reqs) + 1)] + [1.0 + reqs[0] / sum(reqs)]
+        over = min(1.0, max(0.0, most * len(tables) / max(1, len(want)) - 1.0))
         ring = dict(sorted(want.items(), key=lambda line: line[0] * GOLDEN % 1.0))
+        sure = {i: w for i, w in ring.items() if i in warm}
         for n, t in enumerate(tables):
-            t.want = want if len(tables) <= 2 else cut(ring, edges[n], edges[n + 2])
+            end = edges[n + 1] + over * (edges[n + 2] - edges[n + 1])
+            t.want = want if len(tables) <= 2 else cut(ring, edges[n], end)
             if warm and not t.want.keys() & warm.keys():
-                t.want = cut({i: w for i, w in ring.items() if i in warm}, edges[n], edges[n + 2])
+                t.want = cut(sure, edges[n], end)
 
     def _send(self) -> None:
-        """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; deltas last."""
+        """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; deltas last.
+        Who is bound hears of a server that leaves by its line; who is not yet, by being bound; shut out are
+        servers only where no table can be laid, as what is shut out stays so across streams."""
         self.gate.open(self.now)
-        self._send_cordons([i for i, b in self._in(GONE, *LIVE).items() if (b.state == GONE) != b.cordoned])
+        laid = {t.zone for t in self.tables if t.want}
+        stuck = self.terms.slices or any(x.zone not in laid for x in self.proxies.values())
+        changed = [i for i, b in self._in(GONE, *LIVE).items() if (b.state == GONE) != b.cordoned]
+        self._send_cordons([i for i in changed if stuck or self.bes[i].cordoned])
         self._send_binds() if not self.terms.slices else None
+        bound = all(x.table for x in self.proxies.values())
         for table in self.tables:
             if self.now - table.at > ANSWER_WAIT:
                 table.pace = PACE.get((table.pace, "late"), table.pace)
-            self._send_delta(table)
+            gone = [i for i in table.sent if self.bes[i].state == GONE]
+            first = min((self.bes[i].due for i in gone), default=math.inf)
+            if bound or self.now - first >= GONE_WAIT * self.terms.drain_grace:
+                self._send_delta(table, gone, True)
+        heavy = self._heavy()  # of cold ones, also by what those that left have left to them
+        for table in self.tables:
+            self._send_delta(table, [i for i in table.sent if i in heavy], False)
         wrote, (orders, mark) = self.gate.lines, self.gate.close()
         self.out += orders
         for table in self.tables:
@@ -644,53 +641,54 @@
                 table.mark, table.at, table.answers, table.asked = mark, self.now, 0, asked
                 table.pace = PACE[table.pace, "sent"]
 
+    def _heavy(self) -> set[int]:
+        """Cold or shut out servers that all tables together bring more than they should."""
+        guarded = {i for i, be in self._in(OUT, *LIVE).items() if be.state == OUT or self.cold(be)}
+        sent, want = (dict.fromkeys(guarded, 1e-9) for _ in range(2))
+        for t in self.tables if guarded else ():
+            for lines, sums in (t.sent, sent), (t.want, want):
+                unit = (t.reqs + 1e-6 * len(t.users)) / max(1e-9, sum(lines.values()))
+                for i in lines.keys() & guarded:
+                    sums[i] += lines[i] * unit
+        return {i for i in guarded if sent[i] > COLD_OVER * want[i]}
+
     def _send_cordons(self, changed: list[int]) -> None:
-        """Shuts servers out by a line for who holds them, in one message (heads cost most), or in halves."""
-        lines, cordons, cost = list[it.SetLine](), list[it.Cordon](), dict[int, int]()
-        for i in changed:
-            back = self.bes[i].state != GONE
-            for p, proxy in self.proxies.items():
-                table = proxy.table
-                if table is None or i in table.sent:  # others get no message, so they answer no mark
-                    cost[p] = cost.get(p, 0) + 1 + (back and table is not None)
-            holders = self.tables if back else ()
-            lines += [it.SetLine(t.number, i, t.want.get(i, 0.0)) for t in holders if i in t.sent]
-            cordons.append(it.Cordon(i, not back))
-        if self.gate.put([*lines, *cordons], cost, RULES):
-            for cordon in cordons:
-                self.bes[cordon.be].cordoned = cordon.on
-            for table in self.tables:
-                for line in lines:
-                    table.hold(line.be) if line.table == table.number else None
-        elif len(changed) > 1 and self.gate.waiting < self.terms.waiting_most / 4:
-            self._send_cordons(changed[: len(changed) // 2])
+        for i in changed:  # a line for who holds it: others get no message, so they answer no mark
+            on = self.bes[i].state == GONE
+            cost = {p: 1 for p, x in self.proxies.items() if x.table is None or i in x.table.sent}
+            if self.gate.put([it.Cordon(i, on)], cost, RULES):
+                self.bes[i].cordoned = on
 
     def _send_binds(self) -> None:
-        for _, p in sorted((-x.rate, p) for p, x in self.proxies.items() if x.table is None):
+        """Busiest first, unless some have waited for long, with tables that may name servers that left."""
+        old = self.now - GONE_WAIT * self.terms.drain_grace
+        unbound = ((x.since > old, -x.rate, p) for p, x in self.proxies.items() if x.table is None)
+        for young, _, p in sorted(unbound):
             x = self.proxies[p]
             table = min((t for t in self.tables if t.zone == x.zone), key=lambda t: (t.reqs, t.number))
             if not table.users:  # nobody reads the table: laying it costs nothing
                 self.gate.put(self._changes(table, 0.0, 65536, []), {}, RULES)
             told = [i for i in table.sent if not self.bes[i].cordoned]  # others are told of as shut out
-            lines = 1 + 2 * len(table.sent) - len(told) + len(table.levels) + self.gate.added(p, told)
-            if table.sent and self.gate.put([it.Bind(p, table.number, 0)], {p: lines}, BINDS):
+            lines = 1 + 2 * len(table.sent) - len(told) + len(table.levels) + self.gate.added(p, told, True)
+            way = BINDS if young else RULES
+            if table.sent and self.gate.put([it.Bind(p, table.number, 0)], {p: lines}, way):
                 table.users[p], x.table, table.reqs = None, table, table.reqs + x.rate
 
-    def _send_delta(self, table: Table) -> None:
-        """In pieces, largest changes first, as a whole table would not fit for long over many proxies.  Too
-        heavy lines of cold or shut out servers, and tables with none left, wait for no answers."""
-        was = {i: w for i, w in table.sent.items() if not self.bes[i].cordoned}
-        part = COLD_OVER * sum(was.values()) / max(1e-9, sum(table.want.values()))
-        guarded = [i for i in was if self.bes[i].state == OUT or self._cold(self.bes[i])]
-        heavy = [i for i in guarded if was[i] > part * table.want.get(i, 0.0)]
-        stays = any(i in table.want and i not in heavy for i in was)  # else lines come before others go
-        if not table.users or not table.want or (table.pace == WAITING and not heavy and stays):
+    def _send_delta(self, table: Table, heavy: list[int], gone: bool) -> None:
+        """In pieces, largest changes first, as a whole table may not fit for long.  Lines of who left, too
+        heavy ones, and tables with none left, wait for no answers."""
+        heavy = [i for i in heavy if not self.bes[i].cordoned]
+        lasting = [i for i in table.want if not self.cold(self.bes[i])] or table.want
+        stays = any(i in lasting and i not in heavy for i in table.sent)  # else lines come before others go
+        calm = table.pace == WAITING and stays
+        if not table.users or not table.want or (not heavy and (gone or calm)):
             return
-        way, sent, levels = RULES if heavy or not stays else DELTAS, dict(table.sent), dict(table.levels)
+        way = RULES if gone or not stays else BINDS if heavy else DELTAS
+        sent, levels = dict(table.sent), dict(table.levels)
         room = max(0, self.gate.room(table.users, way) // len(table.users))
         orders = self._changes(table, MOVE, room, heavy if stays else [])
         laid = [o.be for o in orders if isinstance(o, it.SetLine) and o.weight > 0]
-        cost = {p: len(orders) + self.gate.added(p, laid) for p in table.users} if orders else {}
+        cost = {p: len(orders) + self.gate.added(p, laid, False) for p in table.users} if orders else {}
         if not self.gate.put(orders, cost, way):
             table.sent, table.levels = sent, levels
 
--- /dev/null
+++ b/cottonladder/decisions/views.py
@@ -0,0 +1,35 @@
+"""What others may read of a ladder: nothing is decided here, and nothing changes by being read."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from . import interface as it
+from .rules import GONE, LIVE, OUT, Ladder
+
+
+def standing(ladder: Ladder) -> dict[int, it.Standing]:
+    """Each server as last solved."""
+    return {
+        i: it.Standing(
+            be.zone,
+            ladder.full.get(i, 0.0) if be.state in LIVE else 0.0,
+            ladder.cold(be),
+            be.due if be.state == GONE else -1.0,
+            math.sqrt(be.base * be.mean()),
+        )
+        for i, be in ladder.bes.items()
+    }
+
+
+def recollect(ladder: Ladder, bes: Iterable[int], proxies: Iterable[int]) -> it.Remembered:
+    """What the next life may start from, of these; in parts, as all of a large fleet takes too long."""
+    pasts = tuple(
+        it.Past(i, be.started, be.base, be.slowness, be.state == OUT, be.state == GONE)
+        for i in bes
+        if (be := ladder.bes.get(i)) is not None
+    )
+    here = ((p, ladder.proxies[p]) for p in proxies if p in ladder.proxies)
+    rates = tuple((p, sum(map(x.came, range(len(x.count))))) for p, x in here)
+    return it.Remembered(ladder.gate.number, pasts, rates)
--- a/cottonladder/lifecycle/adviser.py
+++ b/cottonladder/lifecycle/adviser.py
@@ -18,6 +18,7 @@
 from ..decisions import interface as it
 from ..decisions.advice import PERIOD, Advice, Word
 from ..decisions.rules import Ladder
+from ..decisions.views import standing
 from ..state.workers import Workers
 from ..wire.messages import Beyond
 from ..wire.terms import WireError
@@ -136,7 +137,7 @@
         due = now >= self._at
         if due or self._listed:
             self._listed = False
-            self._standing = ladder.standing()
+            self._standing = standing(ladder)
             places = places_of(self._workers.ids, self._workers.address)
             self._board.update(self._standing, places)
             for server in self._servers:
--- a/cottonladder/lifecycle/keeper.py
+++ b/cottonladder/lifecycle/keeper.py
@@ -19,6 +19,7 @@
 from ..decisions import interface as it
 from ..decisions.rules import Ladder
 from ..decisions.turns import Plan
+from ..decisions.views import recollect
 from ..memory.sections import ListEntry, ManagerLife, WorkerPast, packed, unpacked
 from ..memory.store import Generation, Store, StoreError
 from ..wire.messages import Beyond
@@ -158,7 +159,7 @@
         bes, proxies, rates, mark = list(ladder.bes), list(ladder.proxies), dict[int, float](), 0
         yield None
         for n in range(0, len(bes), CHUNK):
-            for p in ladder.recollect(bes[n : n + CHUNK], ()).pasts:
+            for p in recollect(ladder, bes[n : n + CHUNK], ()).pasts:
                 if (name := ids.get(p.be)) is None or (be := ladder.bes.get(p.be)) is None:
                     continue
                 word = name.decode()
@@ -168,7 +169,7 @@
                 listed.append(ListEntry(word, place, be.zone, int(mode), be.weight, p.started))
             yield None
         for n in range(0, len(proxies) + 1, CHUNK):
-            life = ladder.recollect((), proxies[n : n + CHUNK])
+            life = recollect(ladder, (), proxies[n : n + CHUNK])
             rates.update(life.rates)
             mark = life.mark
             yield None
--- a/cottonladder/lifecycle/mover.py
+++ b/cottonladder/lifecycle/mover.py
@@ -12,6 +12,7 @@
 from ..decisions import interface as it
 from ..decisions.moves import PLAN_EVERY, Admit, Holding, Move, MoveOrder, Moves, MoveTerms, Stop
 from ..decisions.rules import Ladder
+from ..decisions.views import standing
 from ..state.workers import Workers
 from ..wire import upgrades as wire
 from ..wire.messages import Beyond, Mouth
@@ -96,10 +97,10 @@
         if now < self._plan_at:
             return
         self._plan_at = now + PLAN_EVERY
-        standing = ladder.standing()
-        orders = [o for o in self._moves.plan(now, standing) if not self._vetoed(o)]
+        stand = standing(ladder)
+        orders = [o for o in self._moves.plan(now, stand) if not self._vetoed(o)]
         self._aside += self._moves.lines(orders)
-        self._tell_modes(standing)
+        self._tell_modes(stand)
         ids = self._workers.ids
         for order in orders:
             if isinstance(order, Admit):
--- a/cottonladder/lifecycle/plugged.py
+++ b/cottonladder/lifecycle/plugged.py
@@ -14,6 +14,7 @@
 from ..decisions.hooks import factor_of, may_veto
 from ..decisions.moves import Move
 from ..decisions.rules import INTERVAL, Ladder
+from ..decisions.views import standing
 from ..plugins.abi import EVENT, MOVE, WORKER, record
 from ..plugins.chain import Chain, Wanted
 from ..state.workers import Workers
@@ -90,7 +91,7 @@
         """Writes no proxy; each interval the workers are asked of anew."""
         if now >= self._at:
             self._at = now + INTERVAL
-            self._standing = ladder.standing()
+            self._standing = standing(ladder)
             self._factors = {be: f for be, f in self._factors.items() if be in self._standing}
             self._queue = list(self._standing)
         self.chain.tell()
--- a/cottonladder/state/spread.py
+++ b/cottonladder/state/spread.py
@@ -18,6 +18,7 @@
 from .workers import Workers
 
 PART_MOST = 900_000  # bytes of lines in a part: a message part is 1 MiB at most, heads included
+SURE_LEAST = 0.25  # of a table's workers nobody may have shut out, or all are let in
 PARTS_MOST = 64  # parts of one message, by the protocol; a longer order goes as a further message
 
 
@@ -122,10 +123,25 @@
                 masks[level] = masks.get(level, 0) | 1 << k
         return [("gate", mask, 0, *level) for level, mask in masks.items()]
 
-    def added(self, proxy: int, bes: Iterable[int]) -> int:
-        """Lines that come on top of those of these workers, none of them shut out, at this proxy."""
-        told = self._told.get(proxy)
-        return sum(self._shut(told, be) is not False for be in bes) if told else 0
+    def added(self, proxy: int, bes: Iterable[int], whole: bool) -> int:
+        """Lines that come on top of those of these workers, none of them shut out, at this proxy; `whole`: of
+        a table that it is bound to."""
+        if (told := self._told.get(proxy)) is None:
+            return 0
+        bes = set(bes)
+        if whole:
+            bes -= self._put_off(told, bes)
+        return sum(self._shut(told, be) is not False for be in bes)
+
+    def _put_off(self, told: Told, bes: set[int]) -> set[int]:
+        """Workers of a table to bind to that need not be let in at once: only another manager may have shut
+        them out, under the same ids before they started, and enough others are left to pick from.  A line of
+        theirs that changes lets them in.  A bind costs half as much; harms where such a worker was shut out:
+        its part goes to the table's others until then."""
+        put_off = {be for be in bes if be not in told.out and not self._workers.doubtful(be)}
+        put_off = {be for be in put_off if self._shut(told, be) is None}
+        sure = sum(self._shut(told, be) is False for be in bes)
+        return put_off if sure >= max(1.0, SURE_LEAST * len(bes)) else set()
 
     def _shut(self, told: Told, be: int) -> bool | None:
         """Whether a proxy shuts this worker out; None: in doubt."""
@@ -172,10 +188,11 @@
         for k in range(len(bound)):
             if kinds >> k & 1:
                 ops += self._gates(o.proxy, [k])
+        told, out = self._told[o.proxy], self._out.keys() & table.lines.keys()
+        told.out.update(dict.fromkeys(out))  # told again with each bind, as its cost has it
+        put_off = self._put_off(told, table.lines.keys() - out)
         for be in table.lines:
-            if be in self._out:
-                self._told[o.proxy].out[be] = None  # told again with each bind, as its cost has it
-            ops += self._let_in(o.proxy, be)
+            ops += self._let_in(o.proxy, be) if be not in put_off else []
         self._draft(o.proxy, *ops)
 
     def _cordon(self, o: it.Cordon) -> None:
--- a/cottonladder/wire/terms.py
+++ b/cottonladder/wire/terms.py
@@ -109,6 +109,7 @@
         waiting_most=float(field(fam, "PendingMax", NUMBER, where)),
         messages_most=int(field(fam, "ReloadsMax", NUMBER, where, 0)),
         messages_span=seconds(fam, "ReloadSpanMs", where, 0.0),
+        drain_grace=seconds(rules, "DrainGraceMs", where, 0.0),
         cold_share=float(field(rules, "ColdFrom", NUMBER, where)),
         fall_multiple=float(field(rules, "FallMultiple", NUMBER, where)),
         avoids=field(fam, "Strikes", NUMBER, where, 0) > 0,
