--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -630,8 +630,8 @@
         self.say(writer, "MOVED node 5 move 1 done 1 failed 0")
         self.say(writer, "HELD node 5 whole 1 holds s-1:50:99:0")
         await manager.logged("message left out", "more busy")
+        config = await self.hear(reader, come, b"CONFIG")  # bound to a table that names it
         await self.discovery.state("s-1", "Terminating")
-        config = await self.hear(reader, come, b"CONFIG")
         while b"s-1:0.0" not in b" ".join(config):
             config = await self.hear(reader, come, b"CONFIG")
         await asyncio.sleep(1.2)  # two plans later
