Words of many zones in parts, drains tested at the channel's limit, a look's costs folded

Change: a word of more than 18 zones goes in parts, each headed by its first zone, and is heard in either form; the gate keeps a running total instead of a sum at each `room`; levels are worked out once a look; a bind goes to a table that names nobody who left, if there is one, and stops where there is no room left; tables are told of who left in the order in which they wait; the kernel's queue of connections follows the settings' proxies; one message may be larger than what a proxy may leave unread. `tests/test_drains.py`: half of the workers leave while all proxies come, at half the channel's pace, with a later life, and at a proxy's message limit.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -37,15 +37,13 @@
 LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
 LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
 CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
-DEMAND_SPAN, TOLD_FOR, MARKS_MOST = 4.0, 3, 256  # s of counts kept whole; intervals a word counts; unanswered
-BOUND_WITHIN, LINES_LEAST = 0.5, 8  # of the drains' grace, to bind all proxies; lines of a table
-GONE_WAIT = 0.4  # of the drains' grace that who is bound may wait to hear of one, for who is not
-SLOWEST_CHANNEL = 16.0  # times slower than usual, until answers tell otherwise
+DEMAND_SPAN, TOLD_FOR, WORDS_MOST = 4.0, 3, 18  # s of counts kept whole; intervals a word counts; its zones
+BOUND_WITHIN, GONE_WAIT, LINES_LEAST = 0.5, 0.4, 8  # of a drain's grace: to bind all, to wait; of a table
+SLOWEST_CHANNEL, MARKS_MOST = 16.0, 256  # times slower than usual, until answers tell otherwise; unanswered
 RULES, BINDS, DELTAS = (0.9, math.inf), (0.9, 2.5), (0.45, 1.5)  # of lines that may wait; s of the channel
 NEVER_OVER, SPAN_MOST, RATE_MOST = 8.0, 120.0, 1e5  # times the usual, s, reqs/s: over these nothing can be
-ADVISED_MOST = 2.0  # that all advice together may lift or lower an estimate by
 GOLDEN = (math.sqrt(5.0) - 1.0) / 2.0  # turns between neighbours that fill a ring evenly
-LAID_LEAST = 0.1  # of a server's estimate that stays for reqs, whatever connections it holds
+ADVISED_MOST, LAID_LEAST = 2.0, 0.1  # times all advice lifts or lowers; part of a server always left for reqs
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
 
@@ -58,8 +56,7 @@
         self.measured: deque[tuple[float, float]] = deque(maxlen=AVERAGED)  # tries a second, load
         self.base, self.slowness, self.load = 0.0, 1.0, -1.0  # calm time; factor for trouble; load report
         self.lost, self.held, self.planned, self.cordoned = 0, -1.0, 0.0, False  # probes, reqs, reqs/s
-        self.laid, self.advised = 0.0, 1.0  # by connections held open, as reqs/s; factor by outside advice
-        self.factors: dict[int, float] = {}  # by its sources
+        self.laid, self.advised, self.factors = 0.0, 1.0, dict[int, float]()  # held, as reqs/s; by advisors
 
     def add(self, took: float, tries: float) -> None:
         self.bins[min(int(math.log(max(took / self.least, 1.0), BIN_STEP)), BINS - 1)] += tries
@@ -91,10 +88,6 @@
         self.users: dict[int, None] = {}  # proxies that read it
         self.pace, self.mark, self.at, self.answers, self.asked = IDLE, -1, 0.0, 0, 0
 
-    def hold(self, i: int) -> None:  # the wanted line of this server counts as sent
-        self.sent.pop(i, None)
-        self.sent.update({i: self.want[i]} if i in self.want else {})
-
 
 def middle(values: Iterable[float]) -> float:
     return median([*values] or [0.0])
@@ -106,6 +99,7 @@
 
 
 Matrix = list[list[float]]
+Added = Callable[[int, Iterable[int], bool], int]  # at a proxy, for these servers' lines, or a table to bind
 
 
 def least_cost_flow(demand: list[float], caps: list[float], cost: list[list[float | None]]) -> Matrix:
@@ -157,8 +151,8 @@
 
 class Gate:
     """The one way out for orders to proxies: keeps the queue rule for every path by a ledger of lines.
-    Deltas go by answers alone (a channel may be a dozen times slower).  Rule-bearing orders can't wait for
-    late answers: for them lines also drain with time, slowly.  Harms: late answers hold deltas back."""
+    Deltas go by answers alone (a channel may be slow); for rule-bearing orders, which can't wait for late
+    ones, lines also drain with time, slowly.  Harms: late answers hold deltas back."""
 
     def __init__(self, terms: it.Terms) -> None:
         self.terms, self.number = terms, 0
@@ -166,9 +160,8 @@
         self.flight: dict[int, dict[int, int]] = {}  # mark -> lines by proxy that has yet to answer
         self.written: dict[int, list[float]] = {}
         self.orders: list[it.Order] = []
-        self.lines: dict[int, int] = {}  # by proxy written by these orders
-        # lines that the front adds to those of these servers at a proxy (they are let in), or to its table
-        self.added: Callable[[int, Iterable[int], bool], int] = lambda proxy, bes, whole: 0
+        self.lines, self.total = dict[int, int](), 0  # by proxy written by these orders; over all
+        self.added: Added = lambda proxy, bes, whole: 0  # lines that the front adds, as it lets servers in
 
     def open(self, now: float) -> None:
         drained = (now - self.at) * self.terms.lines_per_s / SLOWEST_CHANNEL
@@ -191,7 +184,7 @@
 
     def room(self, proxies: Iterable[int], way: tuple[float, float]) -> int:
         """Lines that may still be ordered, beside heads and marks; what waits long is old when it leaves."""
-        taken = (self.flying if way == DELTAS else self.waiting) + sum(self.lines.values())
+        taken = (self.flying if way == DELTAS else self.waiting) + self.total
         heads = sum(p not in self.lines for p in proxies) * (self.terms.head_lines + 1)
         return int(min(self.terms.waiting_most * way[0], self.terms.lines_per_s * way[1]) - taken - heads)
 
@@ -202,6 +195,7 @@
             return False
         self.orders += orders
         for p, lines in cost.items():
+            self.total += lines + (self.terms.head_lines + 1) * (p not in self.lines)
             self.lines[p] = self.lines.get(p, self.terms.head_lines + 1) + lines
         return True
 
@@ -218,13 +212,12 @@
         if self.lines:
             self.number = mark = (self.number + 1) % 65536
             orders.append(it.Mark(mark, False))
-            total = sum(self.lines.values())
-            self.waiting, self.flying = self.waiting + total, self.flying + total
+            self.waiting, self.flying = self.waiting + self.total, self.flying + self.total
             self.written.update({p: [*self._recent(p), self.at] for p in self.lines})
             self.flight[mark] = self.lines
             if len(self.flight) > MARKS_MOST:  # never answered: kept no longer
                 self.flying -= sum(self.flight.pop(next(iter(self.flight))).values())
-        self.orders, self.lines = [], {}
+        self.orders, self.lines, self.total = [], {}, 0
         return orders, mark
 
 
@@ -233,18 +226,17 @@
         self.terms, self.zones, self.gate = terms, range(terms.zones), Gate(terms)
         self.uniform: Callable[[float, float], float] = random.Random(terms.seed).uniform
         self.tightest = min(k.response_target for k in terms.kinds)
-        self.bes: dict[int, Be] = {}
-        self.proxies: dict[int, Proxy] = {}
+        self.bes, self.proxies = dict[int, Be](), dict[int, Proxy]()
         self.tables, self.numbers = [Table(z, z) for z in self.zones], terms.zones  # of tables so far
-        self.told: dict[int, tuple[float, list[float]]] = {}  # by other managers: when, what
-        self.out: list[it.Order] = []  # orders for which no proxy is written
+        self.told = dict[int, tuple[float, list[float]]]()  # by other managers: when, what
+        self.out = list[it.Order]()  # orders for which no proxy is written
         self.now = self.solve_at = self.measure_at = self.follow_at = self.usual = 0.0
         self.beat, self.probe_at, self.striking = 0, -math.inf, False  # striking: proxies avoid by themselves
         self.urgent = self.listed = self.due = False
         self.strain, self.strained, self.level, self.let_in, self.whole = 0.0, 0.0, 0.0, 1.0, 1.0
         self.least = [[[math.inf] * LINK_SPAN for _ in self.zones] for _ in self.zones]  # s, by interval
-        self.full: dict[int, float] = {}  # estimates as last solved
-        self.rates: dict[int, float] = {}  # of proxies that are yet to join, as an earlier life knew them
+        self.full, self.rates = dict[int, float](), dict[int, float]()  # as solved; as an earlier life knew
+        self.levels: dict[int, tuple[float, float]] = {}  # shares let in by kind, and as proxies take them
         self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
 
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
@@ -316,9 +308,8 @@
             be.advised = min(ADVISED_MOST, max(1.0 / ADVISED_MOST, math.prod(be.factors.values())))
 
     def _remembered(self, life: it.Remembered) -> None:
-        """Before anything is heard.  Who left is shut out until the list has it ready again; who was
-        suspected starts like one that was shut out now, and a worker that has started since is another
-        one."""
+        """Before anything is heard.  Who left is out until the list has it ready again; who was suspected
+        starts like one that was shut out now; a worker that has started since is another one."""
         self.gate.number, self.rates = life.mark, dict(life.rates)
         for past in life.pasts:
             if (be := self.bes.get(past.be)) is not None and be.started == past.started:
@@ -353,7 +344,8 @@
     def _probe(self, here: float) -> None:
         """Silence and queues show before sums; harms where probes queue.  Their price goes by who is here."""
         listed = self._in(OUT, *LIVE)
-        price = len(listed) * self.terms.probe_price / max(1.0, here, sum(self._demand()[0]))
+        came = sum(p.came(k) for p in self.proxies.values() for k in range(len(p.count)))
+        price = len(listed) * self.terms.probe_price / max(1.0, here, came)
         if self.now >= self.probe_at + max(PROBE_EVERY, price / PROBE_POINTS):
             self.probe_at = self.now + PROBE_EVERY * self.uniform(-0.1, 0.1)
             self.out += [it.Probe(i) for i in listed]
@@ -524,12 +516,17 @@
         """Proxies and admitted demand by zone, for those who can't see them; a lost word is a guess again."""
         at = [p.zone for p in self.proxies.values()]
         words = [f"{at.count(z)} {own[z] * self.let_in:.1f}" for z in self.zones]
-        self.out.append(it.Tell(-1, " ".join(words)))
+        for z in range(0, len(words), WORDS_MOST):  # of many zones first the first one's number
+            head = [f"@{z}"] * (len(words) > WORDS_MOST)
+            self.out.append(it.Tell(-1, " ".join(head + words[z : z + WORDS_MOST])))
 
     def _hint(self, hint: it.Hint) -> None:
-        told = [float(word) for word in hint.text.split() if word.replace(".", "", 1).isdecimal()]
-        if len(told) == 2 * len(self.zones):
-            self.told[hint.sender] = (self.now, told)
+        first, _, text = hint.text[1:].partition(" ") if hint.text[:1] == "@" else ("0", "", hint.text)
+        told = [float(word) for word in text.split() if word.replace(".", "", 1).isdecimal()]
+        whole = self.told.get(hint.sender, (0.0, [0.0] * 2 * len(self.zones)))[1]
+        if first.isdecimal() and len(told) == 2 * min(WORDS_MOST, len(self.zones) - int(first)):
+            whole[2 * int(first) : 2 * int(first) + len(told)] = told
+            self.told[hint.sender] = (self.now, whole)
 
     def _solve(self) -> None:
         if fresh := self.now >= self.measure_at:
@@ -614,23 +611,21 @@
                 t.want = cut(sure, edges[n], end)
 
     def _send(self) -> None:
-        """Rule-bearing orders first: servers that leave, then proxies to bind, busiest first; deltas last.
-        Who is bound hears of a server that leaves by its line; who is not yet, by being bound; shut out are
-        servers only where no table can be laid, as what is shut out stays so across streams."""
+        """Of a server that leaves hears by its line who is bound; who is not yet, by being bound; shut out it
+        is only where no table can be laid, as a proxy keeps what it shuts out across its streams."""
         self.gate.open(self.now)
-        laid = {t.zone for t in self.tables if t.want}
-        stuck = self.terms.slices or any(x.zone not in laid for x in self.proxies.values())
-        changed = [i for i, b in self._in(GONE, *LIVE).items() if (b.state == GONE) != b.cordoned]
-        self._send_cordons([i for i in changed if stuck or self.bes[i].cordoned])
+        self.levels = self._levels() if self.terms.levels != "none" else {}
+        laid, here = {t.zone for t in self.tables if t.want}, self.proxies.values()
+        stuck = self.terms.slices or any(x.zone not in laid for x in here)
+        for i, be in self.bes.items():  # a line for who holds it: others get no message, so answer no mark
+            if be.cordoned != (on := be.state == GONE) and (stuck or not on):
+                cost = {p: 1 for p, x in self.proxies.items() if x.table is None or i in x.table.sent}
+                be.cordoned = on == self.gate.put([it.Cordon(i, on)], cost, RULES)
         self._send_binds() if not self.terms.slices else None
-        bound = all(x.table for x in self.proxies.values())
-        for table in self.tables:
-            if self.now - table.at > ANSWER_WAIT:
-                table.pace = PACE.get((table.pace, "late"), table.pace)
-            gone = [i for i in table.sent if self.bes[i].state == GONE]
-            first = min((self.bes[i].due for i in gone), default=math.inf)
-            if bound or self.now - first >= GONE_WAIT * self.terms.drain_grace:
-                self._send_delta(table, gone, True)
+        hold = math.inf if all(x.table for x in here) else self.now - GONE_WAIT * self.terms.drain_grace
+        told = [(min((self.bes[i].due for i in self._gone(t)), default=math.inf), t) for t in self.tables]
+        for first, table in sorted(told, key=lambda pair: pair[0]):
+            self._send_delta(table, self._gone(table) if first <= hold else [], True)
         heavy = self._heavy()  # of cold ones, also by what those that left have left to them
         for table in self.tables:
             self._send_delta(table, [i for i in table.sent if i in heavy], False)
@@ -652,31 +647,32 @@
                     sums[i] += lines[i] * unit
         return {i for i in guarded if sent[i] > COLD_OVER * want[i]}
 
-    def _send_cordons(self, changed: list[int]) -> None:
-        for i in changed:  # a line for who holds it: others get no message, so they answer no mark
-            on = self.bes[i].state == GONE
-            cost = {p: 1 for p, x in self.proxies.items() if x.table is None or i in x.table.sent}
-            if self.gate.put([it.Cordon(i, on)], cost, RULES):
-                self.bes[i].cordoned = on
+    def _gone(self, table: Table) -> list[int]:
+        return [i for i in table.sent if self.bes[i].state == GONE]
 
     def _send_binds(self) -> None:
         """Busiest first, unless some have waited for long, with tables that may name servers that left."""
         old = self.now - GONE_WAIT * self.terms.drain_grace
         unbound = ((x.since > old, -x.rate, p) for p, x in self.proxies.items() if x.table is None)
         for young, _, p in sorted(unbound):
-            x = self.proxies[p]
-            table = min((t for t in self.tables if t.zone == x.zone), key=lambda t: (t.reqs, t.number))
+            x, way = self.proxies[p], BINDS if young else RULES
+            if self.gate.room([p], way) <= 0:
+                break  # nor is there room for who comes behind
+            here = [t for t in self.tables if t.zone == x.zone]
+            table = min(here, key=lambda t: (bool(self._gone(t)), t.reqs, t.number))
+            self._send_delta(table, self._gone(table), True)  # else who is bound to it is written again
             if not table.users:  # nobody reads the table: laying it costs nothing
                 self.gate.put(self._changes(table, 0.0, 65536, []), {}, RULES)
             told = [i for i in table.sent if not self.bes[i].cordoned]  # others are told of as shut out
             lines = 1 + 2 * len(table.sent) - len(told) + len(table.levels) + self.gate.added(p, told, True)
-            way = BINDS if young else RULES
             if table.sent and self.gate.put([it.Bind(p, table.number, 0)], {p: lines}, way):
                 table.users[p], x.table, table.reqs = None, table, table.reqs + x.rate
 
     def _send_delta(self, table: Table, heavy: list[int], gone: bool) -> None:
         """In pieces, largest changes first, as a whole table may not fit for long.  Lines of who left, too
         heavy ones, and tables with none left, wait for no answers."""
+        if self.now - table.at > ANSWER_WAIT:
+            table.pace = PACE.get((table.pace, "late"), table.pace)
         heavy = [i for i in heavy if not self.bes[i].cordoned]
         lasting = [i for i in table.want if not self.cold(self.bes[i])] or table.want
         stays = any(i in lasting and i not in heavy for i in table.sent)  # else lines come before others go
@@ -695,20 +691,21 @@
     def _changes(self, table: Table, past: float, most: int, only: list[int]) -> list[it.Order]:
         """At most so many orders that turn what was sent into what is wanted, which then count as sent."""
         orders: list[it.Order] = []
-        for k, share in self._levels().items() if self.terms.levels != "none" else ():
+        for k, (share, level) in self.levels.items():
             if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
                 table.levels[k] = share
-                orders.append(it.Level(table.number, self._let_in(k, share), 1 << k, it.Further.NEVER_RAN))
+                orders.append(it.Level(table.number, level, 1 << k, it.Further.NEVER_RAN))
         moves = {i: table.want.get(i, 0.0) - table.sent.get(i, 0.0) for i in only or table.want | table.sent}
         moves = {i: d for i, d in moves.items() if abs(d) > past * table.sent.get(i, 0.0)}
         bare = not any(i in table.want for i in table.sent)
         rank = {i: (bare and d < 0, 0.0 if self.bes[i].cordoned else -abs(d)) for i, d in moves.items()}
         for i in sorted(moves, key=rank.__getitem__)[: max(0, most - len(orders))]:
             orders.append(it.SetLine(table.number, i, table.want.get(i, 0.0)))
-            table.hold(i)
+            table.sent.pop(i, None)
+            table.sent.update({i: table.want[i]} if i in table.want else {})
         return orders
 
-    def _levels(self) -> dict[int, float]:
+    def _levels(self) -> dict[int, tuple[float, float]]:
         """What is let in of each kind: the kinds worth least for their response target are denied first."""
         kinds = self.terms.kinds
         came = [sum(p.came(k) for p in self.proxies.values()) for k in range(len(kinds))]
@@ -717,7 +714,7 @@
             denied = min(deny, came[k] * (1.0 - LEVEL_LEAST))
             shares[k] = 1.0 - denied / came[k] if came[k] > 0 else 1.0
             deny -= denied
-        return shares
+        return {k: (share, self._let_in(k, share)) for k, share in shares.items()}
 
     def _let_in(self, k: int, share: float) -> float:
         """A share as proxies take it; as a rate, one that lets in this share of all, small ones whole."""
--- a/cottonladder/lab/many.py
+++ b/cottonladder/lab/many.py
@@ -81,6 +81,7 @@
         self.due: list[tuple[float, it.Input]] = []  # answers on their way
         self.unbooked: list[str] = []  # messages that cost more than was booked for them
         self.spent: dict[tuple[str, str], float] = {}
+        self.took: list[float] = []  # s of each batch
         self.written = 0
         self.token = 0
         self.heard: Callable[[], Iterable[it.Input]] = tuple  # what else comes in at each look
@@ -115,6 +116,7 @@
         ended = perf_counter()
         parts = {"module": decided - heard, "spread": heard - begun + spread - decided}
         parts["write"] = ended - spread
+        self.took.append(ended - begun)
         for part, took in {**parts, "all": ended - begun}.items():
             self.spent[name, part] = max(took, self.spent.get((name, part), 0.0))
         settled = self.ladder.gate.flight.get(mark, {})
--- a/cottonladder/lifecycle/manager.py
+++ b/cottonladder/lifecycle/manager.py
@@ -15,7 +15,7 @@
 from ..decisions.rules import Ladder
 from ..state.roster import Roster
 from ..state.spread import Spread
-from ..wire.address import Address, Shares
+from ..wire.address import QUEUE, Address, Shares
 from ..wire.discovery import Discovery
 from ..wire.messages import Mouth
 from ..wire.peers import Peers
@@ -42,7 +42,8 @@
     accepts, probes = min(64, max(2, sockets // 64)), min(64, max(4, sockets // 16))
     left = sockets - KEPT - TURNS * accepts - probes
     unread = (placement.memory_mb << 20) // (4 * max(1, terms.proxies))
-    return Shares(max(2 * terms.zones, left), accepts, probes, unread)
+    queue = max(QUEUE, 2 * terms.proxies)  # each may have dialled anew before its last dial is seen to end
+    return Shares(max(2 * terms.zones, left), accepts, probes, unread, queue)
 
 
 FIXED = ("name", "listen", "peer_listen", "peers", "peers_all", "settings")  # hold until the program ends
--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -16,7 +16,7 @@
 from .resp import MESSAGE_MOST, Reader
 from .terms import WireError
 
-QUEUE = 1024  # connections that the kernel holds until they are accepted: all may dial at once, or a flood
+QUEUE = 1024  # connections at least that the kernel holds until they are accepted: all may dial at once
 FIRST_MOST = 4096  # bytes of a message from who has not yet said who they are: the first ones are short
 JOIN_WAIT, SWEEP = 1.0, 0.25  # s: to say who one is, of the 3 that a stranger may be kept; between sweeps
 COLLECTORS_MOST = 4  # of a zone, which has one: a new one may come before the last is seen to end
@@ -78,8 +78,9 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if transport.get_write_buffer_size() + len(data) > self.address.shares.unread:
-            self.end(f"left {transport.get_write_buffer_size()} bytes unread")
+        unread = transport.get_write_buffer_size()
+        if unread and unread + len(data) > self.address.shares.unread:  # a single message may be larger
+            self.end(f"left {unread} bytes unread")
         else:
             transport.write(data)
 
@@ -140,6 +141,7 @@
     accepts: int  # connections accepted at once
     probes: int  # probes open at once
     unread: int  # bytes that one proxy may leave unread here
+    queue: int = QUEUE  # connections that the kernel holds until they are accepted
 
 
 class Faults:
@@ -186,7 +188,7 @@
         self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(self), sock=listener, backlog=self.shares.accepts
         )
-        listener.listen(QUEUE)
+        listener.listen(self.shares.queue)
         self._sweep()
         return int(listener.getsockname()[1])
 
--- /dev/null
+++ b/tests/test_drains.py
@@ -0,0 +1,113 @@
+"""Drains first: whoever is joined hears of workers that leave within the settings' grace, or is bound to a
+table without them, however full the channel is and wherever its tables come from."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from cottonladder.decisions import interface as it
+from cottonladder.lab.many import Many, site
+
+IDS = [f"s-{n:04x}" for n in range(200)]
+LEAVE = range(0, 200, 2)
+
+
+class Drains(unittest.TestCase):
+    def fleet(self, terms: it.Terms, answers: float = 1.0) -> Many:
+        fleet = Many(terms, answers=answers)
+        listed = tuple(fleet.entry(be, n // 2 % 4) for n, be in enumerate(IDS))
+        fleet.step("start", [it.Listing(it.News.CACHED, listed)])
+        return fleet
+
+    def tell(self, fleet: Many, some: range, mode: it.Mode = it.Mode.DRAINING) -> None:
+        entries = tuple(fleet.entry(IDS[n], n // 2 % 4, mode) for n in some)
+        fleet.step("list", [it.Listing(it.News.DELTA, entries)])
+
+    def from_elsewhere(self, fleet: Many, proxies: range) -> None:
+        """They come with another manager's tables: five workers each, of which some leave or have left."""
+        for p in proxies:
+            fleet.join([p])
+            fleet.proxies[p].rows = {IDS[(p * 7 + n * 13) % 200].encode(): 1.0 for n in range(5)}
+
+    def sending(self, fleet: Many, left: range) -> list[int]:
+        ids = {IDS[n].encode() for n in left}
+        return [p for p, held in fleet.proxies.items() if (held.rows.keys() - held.out) & ids]
+
+    def test_all_come_while_half_of_the_workers_leave_in_steps(self) -> None:
+        """herd+mass: 1,456 proxies of four killed managers came to one; each step's words to all of them went
+        before the binds, and 1,792 sends reached workers told of 13.4 s before."""
+        fleet = self.fleet(site())
+        fleet.join(range(300))
+        fleet.run(5)
+        self.from_elsewhere(fleet, range(300, 1600))
+        told = []
+        for step in range(4):
+            steps = range(50 * step, 50 * step + 50, 2)
+            self.tell(fleet, steps)
+            told.append((fleet.now, steps))
+            fleet.run(2.0)
+        for at, steps in told:
+            fleet.run(max(0.0, at + fleet.terms.drain_grace - 1.0 - fleet.now))
+            self.assertEqual(self.sending(fleet, steps), [])
+        self.assertLess(fleet.longest, fleet.terms.waiting_most)
+        self.assertEqual(fleet.unbooked, [])
+
+    def test_a_channel_at_half_its_pace_and_answers_lost(self) -> None:
+        """The times of the rules grow by as much as the channel is slower."""
+        fleet = self.fleet(site(), answers=0.6)
+        fleet.pace = 0.5
+        self.from_elsewhere(fleet, range(700))
+        self.tell(fleet, LEAVE)
+        fleet.run(2.0 * fleet.terms.drain_grace)
+        self.assertEqual(self.sending(fleet, LEAVE), [])
+        self.assertLess(fleet.longest, fleet.terms.waiting_most)
+
+    def test_a_later_life_meets_its_former_one_s_lines(self) -> None:
+        """What an earlier life left in the channel counts on."""
+        fleet = self.fleet(site())
+        fleet.join(range(900))
+        fleet.run(3)
+        self.tell(fleet, LEAVE)
+        later = self.fleet(fleet.terms)
+        later.channel = fleet.channel
+        self.assertGreater(later.waiting(), 1000)
+        self.tell(later, LEAVE)
+        self.from_elsewhere(later, range(900))
+        later.run(later.terms.drain_grace - 1.0)
+        self.assertEqual(self.sending(later, LEAVE), [])
+        self.assertLess(later.longest, later.terms.waiting_most)
+
+    def test_a_proxy_at_its_message_limit_holds_nobody_back(self) -> None:
+        """Where messages are limited too: those of other tables are told, it hears after a pause."""
+        terms = replace(site(), messages_most=6, messages_span=10.0, drain_grace=4.0)
+        fleet = self.fleet(terms)
+        fleet.join(range(40))
+        fleet.run(2)
+        table = fleet.ladder.proxies[0].table
+        assert table is not None
+        fleet.ladder.gate.written[0] = [fleet.now - 0.1 * n for n in range(6)]
+        self.tell(fleet, LEAVE)
+        fleet.run(3)
+        self.assertLessEqual(set(self.sending(fleet, LEAVE)), set(table.users))
+        fleet.run(12)
+        self.assertEqual(self.sending(fleet, LEAVE), [])
+
+    def test_where_nobody_is_left_all_are_shut_out(self) -> None:
+        """No table can be laid: who left is shut out at each proxy, bound or not, until one is ready."""
+        fleet = self.fleet(site(proxies=60))
+        fleet.join(range(20))
+        fleet.run(2)
+        self.from_elsewhere(fleet, range(20, 30))
+        self.tell(fleet, range(200), it.Mode.GONE)
+        fleet.run(4)
+        self.assertEqual(self.sending(fleet, range(200)), [])
+        back = tuple(fleet.entry(IDS[n], n // 2 % 4, started=fleet.now - 0.5) for n in range(0, 200, 3))
+        fleet.step("list", [it.Listing(it.News.DELTA, back)])
+        fleet.run(6)
+        self.assertTrue(all(held.rows.keys() - held.out for held in fleet.proxies.values()))
+        self.assertEqual(self.sending(fleet, range(1, 200, 3)), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -18,6 +18,7 @@
     expect level Z KIND < SHARE | expect level Z KIND > SHARE
     expect demand < REQS | expect others < REQS     a second, of the proxies here, of those elsewhere
     expect probes > COUNT           ordered so far
+    expect words < BYTES            the longest told to other managers
     expect waiting < LINES | expect flying < LINES (by answers alone) | expect messages pN < COUNT
     expect order NAME | expect no order NAME | expect known bN .. | expect unknown bN ..
     expect further NAME            the only way of trying further that was ordered
@@ -171,6 +172,8 @@
             return _compare(lines, args[0], args[1]) and lines >= 0
         if what in ("demand", "others"):
             return _compare(sum(self.ladder._demand()[what == "others"]), args[0], args[1])
+        if what == "words":
+            return _compare(max(len(o.text) for o in self.orders if isinstance(o, it.Tell)), args[0], args[1])
         if what == "probes":
             return _compare(sum(isinstance(o, it.Probe) for o in self.orders), args[0], args[1])
         if what == "messages":
