--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -31,10 +31,9 @@
 SILENT_SHARE, CALM_SHARE, BAD_LEAST = 0.85, 0.2, 4.0  # errored part, the others' at most; least tries
 MOVE, NEW_SHARE, OUT_MOST, OUT_WAIT = 0.1, 0.25, 0.34, 5.0  # part that moves; a start's; shut out at most, s
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
-COLD_PART, COLD_MOST, COLD_OVER = 0.22, 0.7, 1.2  # of the multiple; of what it surely does; over its part
 COLD_CALM, COLD_YOUNG, BLIND_BEATS, AVOID_RATE = 12.0, 0.75, 16, 0.4  # 1/errors, part; no sums yet; reqs/s
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
-LEVEL_DOWN, LEVEL_MOST, LEVEL_UP, LEVEL_CALM = 0.5, 0.35, 0.1, 0.8  # steps of what is let in; rises under
+LEVEL_DOWN, LEVEL_MOST, LEVEL_CALM = 0.5, 0.35, 0.8  # steps down of what is let in; under this it rises
 LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
 CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
 DEMAND_SPAN, TOLD_FOR, WORDS_MOST = 4.0, 3, 18  # s of counts kept whole; intervals a word counts; its zones
@@ -42,7 +41,7 @@
 SLOWEST_CHANNEL, MARKS_MOST = 16.0, 256  # times slower than usual, until answers tell otherwise; unanswered
 RULES, BINDS, DELTAS = (0.9, math.inf), (0.9, 2.5), (0.45, 1.5)  # of lines that may wait; s of the channel
 NEVER_OVER, SPAN_MOST, RATE_MOST = 8.0, 120.0, 1e5  # times the usual, s, reqs/s: over these nothing can be
-GOLDEN = (math.sqrt(5.0) - 1.0) / 2.0  # turns between neighbours that fill a ring evenly
+COLD_PART, COLD_OVER, GOLDEN = 0.33, 1.2, 0.618034  # of the fall's multiple; over its part; turns of a ring
 ADVISED_MOST, LAID_LEAST = 2.0, 0.1  # times all advice lifts or lowers; part of a server always left for reqs
 ABSENT, WELL, RAMP, OUT, GONE = "absent", "well", "ramp", "out", "gone"
 LIVE, IDLE, WAITING = (WELL, RAMP), "idle", "waiting"
@@ -51,11 +50,12 @@
 class Be:  # what one manager holds of a server
     def __init__(self, least: float) -> None:
         self.state, self.zone, self.weight, self.started, self.since, self.due = ABSENT, 0, 1.0, 0.0, 0.0, 0.0
-        self.tries, self.errored, self.least, self.bins = 0.0, 0.0, least, [0.0] * BINS  # times, coarse
+        self.tries = self.errored = self.planned = self.was = 0.0  # counted; reqs/s, and an interval ago
         self.done: dict[int, tuple[float, float]] = {}  # this interval's answered tries by zone, s they cover
         self.measured: deque[tuple[float, float]] = deque(maxlen=AVERAGED)  # tries a second, load
-        self.base, self.slowness, self.load = 0.0, 1.0, -1.0  # calm time; factor for trouble; load report
-        self.lost, self.held, self.planned, self.cordoned = 0, -1.0, 0.0, False  # probes, reqs, reqs/s
+        self.least, self.bins, self.load = least, [0.0] * BINS, -1.0  # times, coarse; load report
+        self.base, self.slowness = 0.0, 1.0  # calm time; factor for trouble
+        self.lost, self.held, self.seen, self.cordoned = 0, -1.0, -1.0, False  # probes, reqs, the last ones
         self.laid, self.advised, self.factors = 0.0, 1.0, dict[int, float]()  # held, as reqs/s; by advisors
 
     def add(self, took: float, tries: float) -> None:
@@ -93,13 +93,11 @@
     return median([*values] or [0.0])
 
 
-def likely(count: int, span: float, rate: float) -> bool:
-    """Spoilt sums would be believed for minutes.  Harms where reqs rise eightfold past what proxies said."""
+def likely(count: int, span: float, rate: float) -> bool:  # spoilt sums would be believed for minutes
     return span <= SPAN_MOST and count <= NEVER_OVER * (1.0 + rate) * (1.0 + span)
 
 
 Matrix = list[list[float]]
-Added = Callable[[int, Iterable[int], bool], int]  # at a proxy, for these servers' lines, or a table to bind
 
 
 def least_cost_flow(demand: list[float], caps: list[float], cost: list[list[float | None]]) -> Matrix:
@@ -125,12 +123,11 @@
                 there = far.get(start, math.inf) + price[start, end]
                 if left > 1e-9 and there < far.get(end, math.inf) - 1e-9:
                     far[end], came[end], nearer = there, start, True
-        path, node = [], sink
-        while node in came:
-            path.append((came[node], node))
-            node = came[node]
-        if not path:  # what is left finds no room: every further round would look for the same path in vain
+        if sink not in came:  # what is left finds no room: a further round would look for the same in vain
             break
+        path = [(came[sink], sink)]
+        while path[-1][0] != 0:
+            path.append((came[path[-1][0]], path[-1][0]))
         push = min(room[ends] for ends in path)
         for start, end in path:
             room[start, end] -= push
@@ -150,18 +147,17 @@
 
 
 class Gate:
-    """The one way out for orders to proxies: keeps the queue rule for every path by a ledger of lines.
-    Deltas go by answers alone (a channel may be slow); for rule-bearing orders, which can't wait for late
-    ones, lines also drain with time, slowly.  Harms: late answers hold deltas back."""
+    """The one way out for orders to proxies: a ledger of lines keeps the queue rule.  Deltas go by answers
+    alone (a channel may be slow; harms when late), rule-bearing orders also by time, which drains slowly."""
 
     def __init__(self, terms: it.Terms) -> None:
-        self.terms, self.number = terms, 0
+        self.terms, self.number, self.kept = terms, 0, max(1, terms.messages_most)  # messages by proxy
         self.at = self.waiting = self.flying = 0.0  # lines: by time or answers; by answers alone
         self.flight: dict[int, dict[int, int]] = {}  # mark -> lines by proxy that has yet to answer
         self.written: dict[int, list[float]] = {}
         self.orders: list[it.Order] = []
         self.lines, self.total = dict[int, int](), 0  # by proxy written by these orders; over all
-        self.added: Added = lambda proxy, bes, whole: 0  # lines that the front adds, as it lets servers in
+        self.added: Callable[[int, Iterable[int], bool], int] = lambda proxy, bes, whole: 0  # by the front
 
     def open(self, now: float) -> None:
         drained = (now - self.at) * self.terms.lines_per_s / SLOWEST_CHANNEL
@@ -173,13 +169,11 @@
         self.flying -= self.flight.get(mark, {}).pop(proxy, 0)
         self.waiting = min(self.waiting, self.flying)
 
-    def _recent(self, proxy: int) -> list[float]:
-        return [t for t in self.written.get(proxy, []) if self.at - t <= self.terms.messages_span]
-
     def _may_write(self, proxy: int, rules: bool) -> bool:
         """Deltas leave a third of the messages; of it, rule-bearing ones are spread over the span."""
-        most, times = self.terms.messages_most, self._recent(proxy)
-        spread = most > 0 and self.at - max(times, default=-math.inf) >= self.terms.messages_span / most
+        most, span = self.terms.messages_most, self.terms.messages_span
+        times = [t for t in self.written.get(proxy, []) if self.at - t <= span]
+        spread = most > 0 and self.at - max(times, default=-math.inf) >= span / most
         return most <= 0 or len(times) < (most if rules and spread else most * 2 // 3)
 
     def room(self, proxies: Iterable[int], way: tuple[float, float]) -> int:
@@ -213,7 +207,7 @@
             self.number = mark = (self.number + 1) % 65536
             orders.append(it.Mark(mark, False))
             self.waiting, self.flying = self.waiting + self.total, self.flying + self.total
-            self.written.update({p: [*self._recent(p), self.at] for p in self.lines})
+            self.written.update({p: [*self.written.get(p, []), self.at][-self.kept :] for p in self.lines})
             self.flight[mark] = self.lines
             if len(self.flight) > MARKS_MOST:  # never answered: kept no longer
                 self.flying -= sum(self.flight.pop(next(iter(self.flight))).values())
@@ -228,8 +222,7 @@
         self.tightest = min(k.response_target for k in terms.kinds)
         self.bes, self.proxies = dict[int, Be](), dict[int, Proxy]()
         self.tables, self.numbers = [Table(z, z) for z in self.zones], terms.zones  # of tables so far
-        self.told = dict[int, tuple[float, list[float]]]()  # by other managers: when, what
-        self.out = list[it.Order]()  # orders for which no proxy is written
+        self.told, self.out = dict[int, tuple[float, list[float]]](), list[it.Order]()  # by others; to others
         self.now = self.solve_at = self.measure_at = self.follow_at = self.usual = 0.0
         self.beat, self.probe_at, self.striking = 0, -math.inf, False  # striking: proxies avoid by themselves
         self.urgent = self.listed = self.due = False
@@ -237,7 +230,8 @@
         self.least = [[[math.inf] * LINK_SPAN for _ in self.zones] for _ in self.zones]  # s, by interval
         self.full, self.rates = dict[int, float](), dict[int, float]()  # as solved; as an earlier life knew
         self.levels: dict[int, tuple[float, float]] = {}  # shares let in by kind, and as proxies take them
-        self.part = [1.0] * terms.zones  # this manager's part of the tries at a group
+        # By zone: this manager's part of the tries, when proxies there last spoke, when probes were answered.
+        self.part, self.heard, self.mute = ([v] * terms.zones for v in (1.0, -math.inf, 0.0))
 
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
         self.now, self.due = now, False  # sums, joins and most answers wait for the next beat
@@ -288,11 +282,10 @@
         if be.state not in (state, ABSENT):
             self.out.append(it.Remark(f"be {index} {be.state}>{state} {event}: {why}"))
         be.state, self.urgent = state, True
-        if effect is not None:
-            effect(self, be)
+        effect(self, be) if effect is not None else None
 
     def _begin(self, be: Be) -> None:
-        be.since, be.due, be.slowness, be.held, be.lost = self.now, 0.0, 1.0, -1.0, 0
+        be.since, be.due, be.slowness, be.held, be.seen, be.lost = self.now, 0.0, 1.0, -1.0, -1.0, 0
         be.fade(0.0)
 
     def _shut(self, be: Be) -> None:
@@ -337,7 +330,7 @@
     def _ingress(self, u: it.Ingress) -> None:
         """Counts over the time they cover: small proxies are heard of seldom; late sums leave them as is."""
         if (p := self.proxies.get(u.proxy)) is not None and likely(u.reqs, u.span, p.rate):
-            keep = KEEP if p.spans[u.kind] > DEMAND_SPAN else 1.0
+            keep = min(1.0, max(0.0, DEMAND_SPAN - u.span) / p.spans[u.kind])
             p.count[u.kind] = p.count[u.kind] * keep + u.reqs
             p.spans[u.kind] = p.spans[u.kind] * keep + u.span
 
@@ -346,16 +339,17 @@
         listed = self._in(OUT, *LIVE)
         came = sum(p.came(k) for p in self.proxies.values() for k in range(len(p.count)))
         price = len(listed) * self.terms.probe_price / max(1.0, here, came)
-        if self.now >= self.probe_at + max(PROBE_EVERY, price / PROBE_POINTS):
+        if due := self.now >= self.probe_at + max(PROBE_EVERY, price / PROBE_POINTS):
             self.probe_at = self.now + PROBE_EVERY * self.uniform(-0.1, 0.1)
-            self.out += [it.Probe(i) for i in listed]
+        # A lost one is made again at once: the next ones may be seconds away.
+        self.out += [it.Probe(i) for i, be in listed.items() if due or 0 < be.lost < PROBES_LOST]
 
     def _probed(self, p: it.Probed) -> None:
         if (be := self.bes.get(p.be)) is None:
             return
         be.lost = 0 if p.done else be.lost + 1
-        held = min(p.report.get("inflight", be.held), NEVER_OVER * (1.0 + self.usual))
-        be.held = held if be.held < 0 else (be.held + held) / 2
+        be.seen = min(p.report.get("inflight", be.seen), NEVER_OVER * (1.0 + self.usual))
+        be.held = be.seen if be.held < 0 else (be.held + be.seen) / 2
         if p.done and be.state == OUT and self.now >= be.due:
             self._step(p.be, "due", f"probe answered in {p.took * 1000:.0f} ms")
 
@@ -363,6 +357,7 @@
         self._left(it.Left(j.proxy))
         rate = min(self.rates.pop(j.proxy, j.reqs_per_s), RATE_MOST)
         self.proxies[j.proxy] = Proxy(j.zone, rate, len(self.terms.kinds), self.now)
+        self.heard[j.zone] = self.now
         self.gate.written.pop(j.proxy, None)
         self.solve_at = self.now
 
@@ -372,8 +367,9 @@
 
     def _answered(self, a: it.Answered) -> None:
         self.gate.answered(a.mark, a.proxy)
-        table = self.proxies[a.proxy].table if a.proxy in self.proxies else None
-        if table and table.mark == a.mark:
+        if (proxy := self.proxies.get(a.proxy)) is not None:
+            self.heard[proxy.zone] = self.now
+        if proxy and (table := proxy.table) and table.mark == a.mark:
             table.answers += 1
             if table.answers > table.asked / 2 and table.pace == WAITING:
                 table.pace, self.due = PACE[table.pace, "answered"], True
@@ -390,10 +386,12 @@
         was, self.strained = self.strained, self._overload(list(live.values()))
         self.urgent |= was < 1.0 <= self.strained
         shut = sum(be.weight for be in self._in(OUT).values())
-        # Probes lost to most of a group: the way is bad, not servers.  Harms if all go silent; tries tell.
+        # Probes lost to most of a group: the way is bad, unless its proxies speak since, and others answer.
         probed = self._in(OUT, *LIVE).values()
         most = OUT_MOST * sum(be.weight for be in probed)
-        far = [middle(be.lost for be in probed if be.zone == g) >= 1 for g in self.zones]
+        mute = [middle(be.lost for be in probed if be.zone == g) >= 1 for g in self.zones]
+        self.mute = [self.mute[g] if mute[g] else self.now for g in self.zones]
+        far = [mute[g] and (all(mute) or self.heard[g] <= self.mute[g] + PROBE_EVERY) for g in self.zones]
         for i, be in self.bes.items():
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
@@ -438,14 +436,13 @@
             be.fade(KEEP)
         before, strained = self.let_in, self.strained * (self.terms.levels != "none")  # else none is denied
         down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) * (strained > 1.0)
-        self.let_in = min(1.0, max(LEVEL_FLOOR, before + (LEVEL_UP if strained < LEVEL_CALM else -down)))
+        self.let_in = min(1.0, max(LEVEL_FLOOR, before - down + max(0.0, LEVEL_CALM - strained)))
         if (before < 1.0) != (self.let_in < 1.0):
             self.out.append(it.Remark(f"levels {before:.2f}>{self.let_in:.2f}: overload {strained:.2f}"))
         self.least = [[[math.inf, *least[:-1]] for least in row] for row in self.least]
 
     def _forget(self) -> None:
-        """Who is long gone and in no table is known no more, lest a long life fill up; waits for proxies that
-        may hold tables of others.  Harms one that is listed again: it starts like a new one."""
+        """Who is long gone and in no table is known no more; waits for who may hold others' tables."""
         bound = sum(len(t.users) for t in self.tables) == len(self.proxies)
         held = {i for t in self.tables for i in t.sent}
         for i, be in self._in(GONE).items() if bound else ():
@@ -455,9 +452,9 @@
 
     def _overload(self, live: list[Be]) -> float:
         """How far most servers show overload, from 1: errors, time, reqs held over rate (Little), load."""
-        queue = middle(be.held / be.planned for be in live if be.held >= 0 < be.planned)
+        queue = middle(be.seen / max(be.was, be.planned) for be in live if be.seen >= 0 < be.planned)
         erred = middle(be.errored / be.tries for be in live if be.tries >= 1.0)
-        time = max(middle(be.mean() for be in live if be.mean() > 0), queue) / self.tightest
+        time = (queue or middle(be.mean() for be in live if be.mean() > 0)) / self.tightest
         load = middle(be.load for be in live if be.load >= 0)
         calm = max(time / STRAIN_TIME, max(load, min(self.level, LOAD_OVER * load)) / STRAIN_LOAD)
         return max(calm, min(erred / STRAIN_ERRED, CALM_TWICE * calm))  # errors alone: clients or the way
@@ -474,28 +471,25 @@
             speed = heard[i] / unit if i in heard else base / be.base if be.base > 0 else 1.0
             full[i] = be.weight * unit * min(SPEED_SPAN, max(1 / SPEED_SPAN, speed))
         self.whole = sum(full.values())  # before any trouble: what cold servers' parts are measured by
-        average, cold = self.whole / len(full) if full else 1.0, dict[int, float]()
-        for i, be in live.items():
-            full[i] *= be.slowness * (min(1.0, be.advised) if self.cold(be) else be.advised)
-            if be.state == RAMP:
-                full[i] = min(full[i], average * self._ease(be))
-            if self.cold(be):
-                age = (self.now - be.started) / self.terms.warm_after
-                cold[i] = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * full[i]
         # Avoiding proxies turn to cold servers at any weight, before sums tell; harms deploys in overload.
         # The strikes that takes come too slowly where a proxy brings a server a req each few seconds.
         rates, per_line = [p.rate for p in self.proxies.values()], len(self.zones) / max(1, len(live))
         self.striking = self.terms.avoids and sum(r * r for r in rates) * per_line > AVOID_RATE * sum(rates)
-        for i, room in cold.items():
-            young = room < COLD_YOUNG * full[i] or self.beat < BLIND_BEATS
-            strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0 or young))
-            strain = strain if self.striking else max(self.strain, self.strained - 1.0)
-            full[i] = room * min(COLD_MOST, COLD_PART * self.terms.fall_multiple) * max(0.0, 1.0 - strain)
+        for i, be in live.items():
+            most = self.whole / len(full) * self._ease(be) if be.state == RAMP else math.inf
+            full[i] *= be.slowness * (min(1.0, be.advised) if self.cold(be) else be.advised)
+            if self.cold(be):  # what it surely does by now
+                age = (self.now - be.started) / self.terms.warm_after
+                sure = self.terms.cold_share + (1.0 - self.terms.cold_share) * age
+                young = sure < COLD_YOUNG or self.beat < BLIND_BEATS
+                strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0 or young))
+                part = min(1.0, COLD_PART * self.terms.fall_multiple)
+                full[i] = min(most, full[i] * sure) * part * max(0.0, 1.0 - self.striking * strain)
+            full[i] = min(most, full[i])
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
     def _demand(self) -> tuple[list[float], list[float]]:
-        """Own demand by zone, and others': what they told, and a guess for proxies that are still missing.
-        One part of the tries for all groups (design) would send most across zones, as zones deal proxies."""
+        """Own demand by zone, and others': what they told, and a guess for proxies that are still missing."""
         own, others, count = ([0.0] * len(self.zones) for _ in range(3))
         for p in self.proxies.values():
             own[p.zone] += sum(p.came(k) for k in range(len(p.count)))
@@ -513,12 +507,12 @@
         return own, others
 
     def _tell(self, own: list[float]) -> None:
-        """Proxies and admitted demand by zone, for those who can't see them; a lost word is a guess again."""
+        """Proxies and demand by zone, for those who can't see them; a lost word is a guess again."""
         at = [p.zone for p in self.proxies.values()]
-        words = [f"{at.count(z)} {own[z] * self.let_in:.1f}" for z in self.zones]
+        words = [f"{at.count(z)} {own[z]:.1f}" for z in self.zones]
         for z in range(0, len(words), WORDS_MOST):  # of many zones first the first one's number
-            head = [f"@{z}"] * (len(words) > WORDS_MOST)
-            self.out.append(it.Tell(-1, " ".join(head + words[z : z + WORDS_MOST])))
+            part = [f"@{z}"] * (len(words) > WORDS_MOST) + words[z : z + WORDS_MOST]
+            self.out.append(it.Tell(-1, " ".join(part)))
 
     def _hint(self, hint: it.Hint) -> None:
         first, _, text = hint.text[1:].partition(" ") if hint.text[:1] == "@" else ("0", "", hint.text)
@@ -537,9 +531,8 @@
         own, others = self._demand()
         if fresh and self.terms.peers:
             self._tell(own)
-        demand = [a * self.let_in + b for a, b in zip(own, others, strict=True)]
-        # Held connections lie where they are: reqs fill what they leave, to one level, as estimates may have
-        # no unit.  Harms where what one lays is stated too high: its server idles, but for a tenth.
+        demand = [(a + b) * self.let_in for a, b in zip(own, others, strict=True)]  # others deny as much
+        # Held connections lie where they are: reqs fill the rest.  Harms where one is stated too high.
         if laid := sum(self.bes[i].laid for i in full):
             unit = sum(full.values()) / (sum(demand) + laid)
             full = {i: max(LAID_LEAST * c, c - unit * self.bes[i].laid) for i, c in full.items()}
@@ -549,7 +542,8 @@
         usual = middle(v for row in least for v in row if v < math.inf)
 
         def price(z: int, g: int) -> float | None:  # own links stay: what slows them is servers, not the way
-            near = z == g or not LINK_OVER * usual <= least[z][g] < math.inf
+            mute = self.mute[g] < self.now - BEAT  # whoever is, nobody there answers
+            near = z == g or not (mute or LINK_OVER * usual <= least[z][g] < math.inf)
             return CROSS_COST * (z != g) if near and groups[g] else None
 
         level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
@@ -573,8 +567,9 @@
         for g in self.zones:
             total = sum(flow[z][g] for z in self.zones)
             for i in groups[g]:
-                self.bes[i].planned = total * full[i] / room[g]
-            mine = sum(flow[z][g] * (1.0 - others[z] / demand[z]) for z in self.zones if demand[z] > 0)
+                be = self.bes[i]
+                be.was, be.planned = be.planned if fresh else be.was, total * full[i] / room[g]
+            mine = sum(flow[z][g] * own[z] / (own[z] + others[z]) for z in self.zones if demand[z] > 0)
             self.part[g] = mine / total if total > 0 else 1.0
 
     def _tables(self, z: int, lines: int, most: int) -> list[Table]:  # dealt anew only if far too few
@@ -589,10 +584,9 @@
         return tables
 
     def _deal(self, z: int, want: dict[int, float], warm: dict[int, float]) -> None:
-        """What a zone should hold, as its tables: several, where binding all proxies there are to whole ones
-        would take too long for the drains' grace.  Servers lie on a ring by their weights, and a table is cut
-        out of it from where its proxies' reqs begin to where the next one's end, or nearer if these are many:
-        together they lay the zone's weights.  Harms where a table's few servers fail together."""
+        """A zone's tables: several, where binding all proxies to whole ones would outlast the drains' grace.
+        Servers lie on a ring by weight; a table is cut out of it from where its proxies' reqs begin to where
+        the next one's end, or nearer: together they lay all.  Harms where a table's few fail together."""
         each = BOUND_WITHIN * self.terms.drain_grace * self.terms.lines_per_s / max(1, self.terms.proxies)
         most = max(LINES_LEAST, int(each) - self.terms.head_lines - 2)
         tables = self._tables(z, sum(self.bes[i].zone == z for i in want) or len(want), most)
@@ -603,12 +597,11 @@
         edges = [sum(reqs[:n]) / sum(reqs) for n in range(len(reqs) + 1)] + [1.0 + reqs[0] / sum(reqs)]
         over = min(1.0, max(0.0, most * len(tables) / max(1, len(want)) - 1.0))
         ring = dict(sorted(want.items(), key=lambda line: line[0] * GOLDEN % 1.0))
-        sure = {i: w for i, w in ring.items() if i in warm}
         for n, t in enumerate(tables):
             end = edges[n + 1] + over * (edges[n + 2] - edges[n + 1])
             t.want = want if len(tables) <= 2 else cut(ring, edges[n], end)
             if warm and not t.want.keys() & warm.keys():
-                t.want = cut(sure, edges[n], end)
+                t.want = cut({i: w for i, w in ring.items() if i in warm}, edges[n], end)
 
     def _send(self) -> None:
         """Of a server that leaves hears by its line who is bound; who is not yet, by being bound; shut out it
@@ -682,23 +675,26 @@
         way = RULES if gone or not stays else BINDS if heavy else DELTAS
         sent, levels = dict(table.sent), dict(table.levels)
         room = max(0, self.gate.room(table.users, way) // len(table.users))
+        if heavy and stays:  # what is left takes the part of what goes, cold ones too: the rest comes along
+            room = min(room, max(len(heavy), self.gate.room(table.users, BINDS) // len(table.users)))
         orders = self._changes(table, MOVE, room, heavy if stays else [])
         laid = [o.be for o in orders if isinstance(o, it.SetLine) and o.weight > 0]
         cost = {p: len(orders) + self.gate.added(p, laid, False) for p in table.users} if orders else {}
         if not self.gate.put(orders, cost, way):
             table.sent, table.levels = sent, levels
 
-    def _changes(self, table: Table, past: float, most: int, only: list[int]) -> list[it.Order]:
+    def _changes(self, table: Table, past: float, most: int, first: list[int]) -> list[it.Order]:
         """At most so many orders that turn what was sent into what is wanted, which then count as sent."""
         orders: list[it.Order] = []
         for k, (share, level) in self.levels.items():
             if abs(share - table.levels.get(k, -1.0)) > past or (share >= 1.0 > table.levels.get(k, 1.0)):
                 table.levels[k] = share
                 orders.append(it.Level(table.number, level, 1 << k, it.Further.NEVER_RAN))
-        moves = {i: table.want.get(i, 0.0) - table.sent.get(i, 0.0) for i in only or table.want | table.sent}
+        moves = {i: table.want.get(i, 0.0) - table.sent.get(i, 0.0) for i in table.want | table.sent}
         moves = {i: d for i, d in moves.items() if abs(d) > past * table.sent.get(i, 0.0)}
         bare = not any(i in table.want for i in table.sent)
-        rank = {i: (bare and d < 0, 0.0 if self.bes[i].cordoned else -abs(d)) for i, d in moves.items()}
+        size = {i: -abs(d) * (not self.bes[i].cordoned) for i, d in moves.items()}
+        rank = {i: (i not in first, bare and d < 0, size[i]) for i, d in moves.items()}
         for i in sorted(moves, key=rank.__getitem__)[: max(0, most - len(orders))]:
             orders.append(it.SetLine(table.number, i, table.want.get(i, 0.0)))
             table.sent.pop(i, None)
@@ -729,8 +725,7 @@
         return 1e6
 
 
-Effect = Callable[[Ladder, Be], None]
-LIFE: dict[tuple[str, str], tuple[str, Effect | None]] = {
+LIFE: dict[tuple[str, str], tuple[str, Callable[[Ladder, Be], None] | None]] = {
     **{(state, "started"): (RAMP, Ladder._begin) for state in (ABSENT, GONE, OUT, *LIVE)},
     **{(state, "leaving"): (GONE, Ladder._shut) for state in (ABSENT, OUT, *LIVE)},
     **{(state, "bad"): (OUT, Ladder._shut) for state in LIVE},
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -93,6 +93,23 @@
         fleet.run(12)
         self.assertEqual(self.sending(fleet, LEAVE), [])
 
+    def test_cold_workers_do_not_inherit_what_drains(self) -> None:
+        """join+vast: lines of who left went at once and those that were to take their part seconds later, so
+        a cold worker got twice its part for 3 s and fell over (sent 5.2 times what it could then do)."""
+        fleet = self.fleet(site(proxies=640))
+        fleet.join(range(128))
+        fleet.run(6)
+        new = tuple(fleet.entry(f"n-{n:04x}", n % 4, started=fleet.now - 1.0) for n in range(60))
+        fleet.step("list", [it.Listing(it.News.DELTA, new)])
+        fleet.run(4)
+        self.tell(fleet, range(120))
+        fleet.run(1.5)
+        load, ladder = fleet.load(), fleet.ladder
+        for n in range(60):
+            be = fleet.workers.learn(f"n-{n:04x}", "127.0.0.1:1", 0.0)
+            part = ladder.bes[be].planned * ladder.part[n % 4]
+            self.assertLess(load.get(b"n-%04x" % n, 0.0), 1.5 * part)
+
     def test_where_nobody_is_left_all_are_shut_out(self) -> None:
         """No table can be laid: who left is shut out at each proxy, bound or not, until one is ready."""
         fleet = self.fleet(site(proxies=60))
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -70,6 +70,7 @@
                 reached |= {p for p, table in self.users.items() if table == order.table}
             elif isinstance(order, it.Level):
                 self.levels[order.table, order.kinds.bit_length() - 1] = order.let_in
+                reached |= {p for p, table in self.users.items() if table == order.table}
             elif isinstance(order, it.Bind):
                 self.users.pop(order.proxy, None)
                 self.users[order.proxy] = order.table
