--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -25,14 +25,14 @@
 LINK_OVER, LINK_SPAN = 2.0, 3  # over the median a link goes; intervals its least time is of (design: 5 s)
 CROSS_COST, LEAST_SHARE, SLACK, SLACK_FOR_PRICE = 1.0, 0.02, 0.05, 0.5  # least laid; over the mean; per price
 SLOW_OVER, ERRED_POWER = 2.0, 3.0  # time over base, against the fleet's, left alone; of the answered part
-SLOW_LEAST, SLOW_FALL, SLOW_RISE = 0.03, 0.8, 0.5  # least factor; part of the way it goes each interval
+SLOW_LEAST, SLOW_FALL, SLOW_RISE, ZONE_STEP = 0.03, 0.8, 0.5, 0.25  # least factor; part of the way each time
 BASE_FALL, BASE_RISE, SPEED_SPAN = 0.8, 0.01, 2.5  # steps of a base time; how far speeds may differ
 KEEP, BIN_STEP, BINS = 0.5, 1.5, 16  # of what was counted, each interval; ratio of time bins; how many
 SILENT_SHARE, CALM_SHARE, BAD_LEAST = 0.85, 0.2, 4.0  # errored part, the others' at most; least tries
 MOVE, NEW_SHARE, OUT_MOST, OUT_WAIT = 0.1, 0.25, 0.34, 5.0  # part that moves; a start's; shut out at most, s
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_CALM, COLD_YOUNG, BLIND_BEATS, AVOID_RATE = 12.0, 0.75, 16, 0.4  # 1/errors, part; no sums yet; reqs/s
-STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.5, 0.92  # errors, time over target, load: that mean overload
+STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.35, 0.92  # errors, time over target, load: that mean overload
 LEVEL_DOWN, LEVEL_MOST, LEVEL_CALM = 0.5, 0.35, 0.8  # steps down of what is let in; under this it rises
 LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
 CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
@@ -232,6 +232,7 @@
         self.levels: dict[int, tuple[float, float]] = {}  # shares let in by kind, and as proxies take them
         # By zone: this manager's part of the tries, when proxies there last spoke, when probes were answered.
         self.part, self.heard, self.mute = ([v] * terms.zones for v in (1.0, -math.inf, 0.0))
+        self.trust, self.steady = ([1.0] * terms.zones for _ in range(2))  # how servers do, slowly; by now
 
     def decide(self, now: float, inputs: Iterable[it.Input]) -> list[it.Order]:
         self.now, self.due = now, False  # sums, joins and most answers wait for the next beat
@@ -301,8 +302,7 @@
             be.advised = min(ADVISED_MOST, max(1.0 / ADVISED_MOST, math.prod(be.factors.values())))
 
     def _remembered(self, life: it.Remembered) -> None:
-        """Before anything is heard.  Who left is out until the list has it ready again; who was suspected
-        starts like one that was shut out now; a worker that has started since is another one."""
+        """Before anything is heard: who left is out until listed again, suspects as if shut out."""
         self.gate.number, self.rates = life.mark, dict(life.rates)
         for past in life.pasts:
             if (be := self.bes.get(past.be)) is not None and be.started == past.started:
@@ -335,13 +335,12 @@
             p.spans[u.kind] = p.spans[u.kind] * keep + u.span
 
     def _probe(self, here: float) -> None:
-        """Silence and queues show before sums; harms where probes queue.  Their price goes by who is here."""
+        """Silence and queues show before sums; harms if probes queue.  Lost ones are made again at once."""
         listed = self._in(OUT, *LIVE)
         came = sum(p.came(k) for p in self.proxies.values() for k in range(len(p.count)))
         price = len(listed) * self.terms.probe_price / max(1.0, here, came)
         if due := self.now >= self.probe_at + max(PROBE_EVERY, price / PROBE_POINTS):
             self.probe_at = self.now + PROBE_EVERY * self.uniform(-0.1, 0.1)
-        # A lost one is made again at once: the next ones may be seconds away.
         self.out += [it.Probe(i) for i, be in listed.items() if due or 0 < be.lost < PROBES_LOST]
 
     def _probed(self, p: it.Probed) -> None:
@@ -378,8 +377,7 @@
         return {i: be for i, be in self.bes.items() if be.state in states}
 
     def _judge(self) -> None:
-        """Symptoms to lifecycle steps, each beat.  Who hardly answers is shut out; of others that err the
-        estimate falls.  Harms where unlucky sums look silent; the cap on what may be out bounds that."""
+        """Symptoms to lifecycle steps, each beat.  Harms where unlucky sums look silent; a cap is set."""
         live = self._in(*LIVE)
         tries, errored = sum(be.tries for be in live.values()), sum(be.errored for be in live.values())
         self.strain = errored / tries if tries > 0 else 0.0
@@ -414,26 +412,31 @@
     def _measure(self) -> None:
         """Once an interval: capacity samples, slowness, levels, and the halving of what was counted."""
         self._forget()
-        for be in self.bes.values():
+        live = self._in(*LIVE)
+        held = {i: (not self.striking) * be.held / be.weight for i, be in live.items()}  # told before sums
+        usual_held = max(1.0, middle(held.values()))
+        for i, be in self.bes.items():
             rate = sum(done / span for done, span in be.done.values() if span > 0)
             if be.load >= 0 and rate > 0 and self.part[be.zone] >= PART_LEAST and not self.cold(be):
                 be.measured.append((rate / self.part[be.zone], max(LOAD_FLOOR, be.load)))
             be.done.clear()
-            if (mean := be.mean()) > 0:
+            if (mean := be.mean()) > 0 and (be.base or held.get(i, 0.0) < SLOW_OVER * usual_held):
                 be.base += (mean - be.base) * (BASE_FALL if mean < be.base else BASE_RISE if be.base else 1.0)
-        live = self._in(*LIVE)
         over = {i: be.mean() / be.base for i, be in live.items() if be.base > 0}
         bad = {i: be.errored / be.tries for i, be in live.items() if be.tries >= 1.0}
-        held = {i: (not self.striking) * be.held / be.weight for i, be in live.items()}  # told before sums
-        usual_over, usual_bad, usual_held = (middle(each.values()) for each in (over, bad, held))
+        usual_over, usual_bad = (middle(each.values()) for each in (over, bad))
         jam = max(1.0, self.strained)  # in a jam times lie far apart by chance: weights must not chase them
         for i, be in live.items():
-            late = max(over.get(i, 0.0) / max(usual_over, 1e-9), held[i] / max(1.0, usual_held), 1e-9)
+            late = max(over.get(i, 0.0) / max(usual_over, 1e-9), held[i] / usual_held, 1e-9)
             aim = min(1.0, jam * SLOW_OVER / late)
             aim *= min(1.0, (1.0 - bad.get(i, 0.0)) / max(0.1, 1.0 - usual_bad)) ** (ERRED_POWER / jam)
             step = SLOW_FALL if aim < be.slowness else SLOW_RISE
             be.slowness = max(SLOW_LEAST, be.slowness + (aim - be.slowness) * step)
             be.fade(KEEP)
+        for g in self.zones:  # moved at once, all managers leave a zone that jams, and the next one jams
+            now = fmean([be.slowness for be in live.values() if be.zone == g] or [1.0])
+            self.trust[g] += (now - self.trust[g]) * ZONE_STEP
+            self.steady[g] = self.trust[g] / now
         before, strained = self.let_in, self.strained * (self.terms.levels != "none")  # else none is denied
         down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) * (strained > 1.0)
         self.let_in = min(1.0, max(LEVEL_FLOOR, before - down + max(0.0, LEVEL_CALM - strained)))
@@ -477,7 +480,7 @@
         self.striking = self.terms.avoids and sum(r * r for r in rates) * per_line > AVOID_RATE * sum(rates)
         for i, be in live.items():
             most = self.whole / len(full) * self._ease(be) if be.state == RAMP else math.inf
-            full[i] *= be.slowness * (min(1.0, be.advised) if self.cold(be) else be.advised)
+            full[i] *= be.slowness * self.steady[be.zone] * min(be.advised, 1.0 if self.cold(be) else 1e9)
             if self.cold(be):  # what it surely does by now
                 age = (self.now - be.started) / self.terms.warm_after
                 sure = self.terms.cold_share + (1.0 - self.terms.cold_share) * age
@@ -542,9 +545,8 @@
         usual = middle(v for row in least for v in row if v < math.inf)
 
         def price(z: int, g: int) -> float | None:  # own links stay: what slows them is servers, not the way
-            mute = self.mute[g] < self.now - BEAT  # whoever is, nobody there answers
-            near = z == g or not (mute or LINK_OVER * usual <= least[z][g] < math.inf)
-            return CROSS_COST * (z != g) if near and groups[g] else None
+            far = self.mute[g] < self.now - BEAT or LINK_OVER * usual <= least[z][g] < math.inf
+            return CROSS_COST * (z != g) if groups[g] and (z == g or not far) else None
 
         level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
         self.level = level * any(be.measured for be in self.bes.values())  # listed sizes have no unit
@@ -566,9 +568,8 @@
             self._deal(z, {i: w if i in warm else min(w, most * full[i]) for i, w in want.items()}, warm)
         for g in self.zones:
             total = sum(flow[z][g] for z in self.zones)
-            for i in groups[g]:
-                be = self.bes[i]
-                be.was, be.planned = be.planned if fresh else be.was, total * full[i] / room[g]
+            for be, c in [(self.bes[i], full[i]) for i in groups[g]]:
+                be.was, be.planned = be.planned if fresh else be.was, total * c / room[g]
             mine = sum(flow[z][g] * own[z] / (own[z] + others[z]) for z in self.zones if demand[z] > 0)
             self.part[g] = mine / total if total > 0 else 1.0
 
@@ -662,8 +663,7 @@
                 table.users[p], x.table, table.reqs = None, table, table.reqs + x.rate
 
     def _send_delta(self, table: Table, heavy: list[int], gone: bool) -> None:
-        """In pieces, largest changes first, as a whole table may not fit for long.  Lines of who left, too
-        heavy ones, and tables with none left, wait for no answers."""
+        """In pieces, largest changes first.  Who left, too heavy lines, bare tables wait for no answers."""
         if self.now - table.at > ANSWER_WAIT:
             table.pace = PACE.get((table.pace, "late"), table.pace)
         heavy = [i for i in heavy if not self.bes[i].cordoned]
