--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -33,7 +33,7 @@
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
 COLD_CALM, COLD_YOUNG, BLIND_BEATS, AVOID_RATE = 12.0, 0.75, 16, 0.4  # 1/errors, part; no sums yet; reqs/s
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.35, 0.92  # errors, time over target, load: that mean overload
-LEVEL_DOWN, LEVEL_MOST, LEVEL_CALM = 0.5, 0.35, 0.8  # steps down of what is let in; under this it rises
+LEVEL_STEP, LEVEL_MOST, LEVEL_CALM = 0.5, 0.35, 0.8  # of how far off, down at most; under this it rises
 LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
 CALM_TWICE, LOAD_OVER = 2.0, 1.4  # errors count up to this much of time and load; demand over room of load
 DEMAND_SPAN, TOLD_FOR, WORDS_MOST = 4.0, 3, 18  # s of counts kept whole; intervals a word counts; its zones
@@ -230,7 +230,7 @@
         self.least = [[[math.inf] * LINK_SPAN for _ in self.zones] for _ in self.zones]  # s, by interval
         self.full, self.rates = dict[int, float](), dict[int, float]()  # as solved; as an earlier life knew
         self.levels: dict[int, tuple[float, float]] = {}  # shares let in by kind, and as proxies take them
-        # By zone: this manager's part of the tries, when proxies there last spoke, when probes were answered.
+        # By zone: this manager's part of the tries, when proxies there last spoke, when probes or tries were.
         self.part, self.heard, self.mute = ([v] * terms.zones for v in (1.0, -math.inf, 0.0))
         self.trust, self.steady = ([1.0] * terms.zones for _ in range(2))  # how servers do, slowly; by now
 
@@ -322,7 +322,7 @@
         be.done[t.zone] = (done + t.tries - t.errored, span + t.span)
         if t.tries > t.errored and 0 < t.took < NEVER_OVER * self.tightest:
             be.add(t.took, t.tries - t.errored)
-            least = self.least[t.zone][be.zone]
+            least, self.mute[be.zone] = self.least[t.zone][be.zone], self.now
             least[0] = min(least[0], t.took)
         load = min(t.report.get("util", be.load), NEVER_OVER)
         be.load = load if be.load < 0 else (be.load + load) / 2
@@ -384,12 +384,13 @@
         was, self.strained = self.strained, self._overload(list(live.values()))
         self.urgent |= was < 1.0 <= self.strained
         shut = sum(be.weight for be in self._in(OUT).values())
-        # Probes lost to most of a group: the way is bad, unless its proxies speak since, and others answer.
+        # Probes lost to most of a group: the way is bad, unless its proxies speak since, but not of answers.
         probed = self._in(OUT, *LIVE).values()
         most = OUT_MOST * sum(be.weight for be in probed)
         mute = [middle(be.lost for be in probed if be.zone == g) >= 1 for g in self.zones]
         self.mute = [self.mute[g] if mute[g] else self.now for g in self.zones]
-        far = [mute[g] and (all(mute) or self.heard[g] <= self.mute[g] + PROBE_EVERY) for g in self.zones]
+        way = [min(self.heard[g] - PROBE_EVERY, self.now - INTERVAL) > self.mute[g] for g in self.zones]
+        far = [mute[g] and (all(mute) or not way[g]) for g in self.zones]
         for i, be in self.bes.items():
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
@@ -438,8 +439,8 @@
             self.trust[g] += (now - self.trust[g]) * ZONE_STEP
             self.steady[g] = self.trust[g] / now
         before, strained = self.let_in, self.strained * (self.terms.levels != "none")  # else none is denied
-        down = min(LEVEL_MOST, LEVEL_DOWN * (strained - LEVEL_CALM)) * (strained > 1.0)
-        self.let_in = min(1.0, max(LEVEL_FLOOR, before - down + max(0.0, LEVEL_CALM - strained)))
+        step = LEVEL_STEP * (LEVEL_CALM - strained) * (not LEVEL_CALM <= strained <= 1.0)
+        self.let_in = min(1.0, max(LEVEL_FLOOR, before + max(-LEVEL_MOST, step)))
         if (before < 1.0) != (self.let_in < 1.0):
             self.out.append(it.Remark(f"levels {before:.2f}>{self.let_in:.2f}: overload {strained:.2f}"))
         self.least = [[[math.inf, *least[:-1]] for least in row] for row in self.least]
@@ -532,8 +533,7 @@
         self.solve_at, self.urgent = self.now + INTERVAL, False
         full = self.full = self._estimates()
         own, others = self._demand()
-        if fresh and self.terms.peers:
-            self._tell(own)
+        self._tell(own) if fresh and self.terms.peers else None
         demand = [(a + b) * self.let_in for a, b in zip(own, others, strict=True)]  # others deny as much
         # Held connections lie where they are: reqs fill the rest.  Harms where one is stated too high.
         if laid := sum(self.bes[i].laid for i in full):
@@ -545,8 +545,8 @@
         usual = middle(v for row in least for v in row if v < math.inf)
 
         def price(z: int, g: int) -> float | None:  # own links stay: what slows them is servers, not the way
-            far = self.mute[g] < self.now - BEAT or LINK_OVER * usual <= least[z][g] < math.inf
-            return CROSS_COST * (z != g) if groups[g] and (z == g or not far) else None
+            near = z == g or not LINK_OVER * usual <= least[z][g] < math.inf
+            return CROSS_COST * (z != g) if near and groups[g] else None
 
         level = sum(demand) / sum(room) if sum(room) > 0 else 0.0
         self.level = level * any(be.measured for be in self.bes.values())  # listed sizes have no unit
@@ -676,7 +676,7 @@
         sent, levels = dict(table.sent), dict(table.levels)
         room = max(0, self.gate.room(table.users, way) // len(table.users))
         if heavy and stays:  # what is left takes the part of what goes, cold ones too: the rest comes along
-            room = min(room, max(len(heavy), self.gate.room(table.users, BINDS) // len(table.users)))
+            room = min(room, max(len(heavy), self.gate.room(table.users, DELTAS) // len(table.users)))
         orders = self._changes(table, MOVE, room, heavy if stays else [])
         laid = [o.be for o in orders if isinstance(o, it.SetLine) and o.weight > 0]
         cost = {p: len(orders) + self.gate.added(p, laid, False) for p in table.users} if orders else {}
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -63,6 +63,20 @@
         self.assertEqual(self.sending(fleet, LEAVE), [])
         self.assertLess(fleet.longest, fleet.terms.waiting_most)
 
+    def test_what_comes_along_delays_nobody_s_leaving(self) -> None:
+        """cairo-dispatch-later big-2, a release while channels send slowly: the other changes of tables that
+        who left stood in filled the channel, and drains behind them were told 15.7 s late."""
+        fleet = self.fleet(site())
+        fleet.join(range(400))
+        fleet.run(6)
+        fleet.pace = 0.25
+        for step in range(0, 200, 50):
+            new = (fleet.entry(f"n-{n + step}", n % 4, started=fleet.now - 1.0) for n in range(25))
+            old = (fleet.entry(IDS[n], n // 2 % 4, it.Mode.DRAINING) for n in range(step, step + 50, 2))
+            fleet.step("list", [it.Listing(it.News.DELTA, (*old, *new))])
+            fleet.run(10.0)
+            self.assertEqual(self.sending(fleet, range(step, step + 50, 2)), [])
+
     def test_a_later_life_meets_its_former_one_s_lines(self) -> None:
         """What an earlier life left in the channel counts on."""
         fleet = self.fleet(site())
