Cold workers that are slow as well are no longer pushed over: a ramp of their part, and held reqs cut it

Excluded: stale lines (`sent 6.0 .. want 6.0`), unbound proxies (none), a wrong start (age 4.5 as listed). At fault: `_estimates` since took the lesser of ramp and cold part, so a cold worker had all of its part 2 to 4 s after it was told of, and `_measure` relaxes slowness in a jam.

Change: the ramp's part and the cold part multiply again (a probe or two come before it doubles), and a cold worker's part falls in proportion to what it holds over a third of a target's reqs at its planned rate. A silent zone whose proxies speak is shut out a second after, not an interval: its proxies came back in between.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -193,8 +193,7 @@
             self.lines[p] = self.lines.get(p, self.terms.head_lines + 1) + lines
         return True
 
-    def settle(self, written: dict[int, int]) -> None:
-        """In place of what was booked: lines by proxy, without heads, that the front made of it."""
+    def settle(self, written: dict[int, int]) -> None:  # in place of what was booked; by proxy, without heads
         booked = self.flight.pop(self.number, {})
         self.flight[self.number] = {p: lines + self.terms.head_lines for p, lines in written.items()}
         more = sum(self.flight[self.number].values()) - sum(booked.values())
@@ -389,8 +388,7 @@
         most = OUT_MOST * sum(be.weight for be in probed)
         mute = [middle(be.lost for be in probed if be.zone == g) >= 1 for g in self.zones]
         self.mute = [self.mute[g] if mute[g] else self.now for g in self.zones]
-        way = [min(self.heard[g] - PROBE_EVERY, self.now - INTERVAL) > self.mute[g] for g in self.zones]
-        far = [mute[g] and (all(mute) or not way[g]) for g in self.zones]
+        far = [mute[g] and (all(mute) or self.heard[g] <= self.mute[g] + PROBE_EVERY) for g in self.zones]
         for i, be in self.bes.items():
             n, e = be.tries, be.errored
             others = (errored - e) / (tries - n) if tries - n > 0 else 0.0
@@ -487,8 +485,9 @@
                 sure = self.terms.cold_share + (1.0 - self.terms.cold_share) * age
                 young = sure < COLD_YOUNG or self.beat < BLIND_BEATS
                 strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0 or young))
-                part = min(1.0, COLD_PART * self.terms.fall_multiple)
-                full[i] = min(most, full[i] * sure) * part * max(0.0, 1.0 - self.striking * strain)
+                held = be.seen / max(1.0, be.planned * self.tightest * STRAIN_TIME)  # it may be slow as well
+                part = min(1.0, COLD_PART * self.terms.fall_multiple) / max(1.0, held)
+                full[i] = min(most, full[i]) * sure * part * max(0.0, 1.0 - self.striking * strain)
             full[i] = min(most, full[i])
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
