Lab fleet: a signal to a process that has just ended no longer loses its status

Seen: in two whole runs of the tests one failed, 255 for 2 (`Unknown child process pid .., will report returncode 255`), never alone: the forwarder ends by itself, and the client's own send_signal polls, so reaps, a process whose end the loop's watcher hasn't seen yet. Change: the signal goes by os.kill, which reaps nobody.

--- a/cottonladder/lab/fleet.py
+++ b/cottonladder/lab/fleet.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -97,7 +98,8 @@
 
     def send(self, number: signal.Signals) -> None:
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+            with suppress(ProcessLookupError):  # its own send_signal reaps who has just ended: no status then
+                os.kill(self.process.pid, number)
 
     async def stop(self, number: signal.Signals = signal.SIGTERM) -> int:
         assert self.process is not None
