--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -480,6 +480,7 @@
         for i, be in live.items():
             most = self.whole / len(full) * self._ease(be) if be.state == RAMP else math.inf
             full[i] *= be.slowness * self.steady[be.zone] * min(be.advised, 1.0 if self.cold(be) else 1e9)
+            full[i] = min(most, full[i])
             if self.cold(be):  # what it surely does by now
                 age = (self.now - be.started) / self.terms.warm_after
                 sure = self.terms.cold_share + (1.0 - self.terms.cold_share) * age
@@ -487,8 +488,7 @@
                 strain = max(COLD_CALM * self.strain, self.strained, float(self.let_in < 1.0 or young))
                 held = be.seen / max(1.0, be.planned * self.tightest * STRAIN_TIME)  # it may be slow as well
                 part = min(1.0, COLD_PART * self.terms.fall_multiple) / max(1.0, held)
-                full[i] = min(most, full[i]) * sure * part * max(0.0, 1.0 - self.striking * strain)
-            full[i] = min(most, full[i])
+                full[i] *= sure * part * max(0.0, 1.0 - self.striking * strain)
         return {i: c for i, c in full.items() if c > 0} or dict.fromkeys(full, 1.0)
 
     def _demand(self) -> tuple[list[float], list[float]]:
