List watches: answers that overtake each other no longer undo a list, addresses count apart

Cause, from reading `wire/discovery.py` and forced by the tests: `_take` held any version below the one in force for a discovery begun anew. A call's answer that was written before the watch's last line and came after it set the version to 0 and failed the call (and the reverse, a watch's line behind a call's newer list, failed the watch); with the version at 0 the next older list would have been believed. A moved discovery and the former one shared one version: each line of the former one made the new one's lower list a fault again. Each line of the former one posted a failed call as well, which set the time of the retry anew, so that a chatty former address put the new one off for ever. A byte now and then without a line's end held a watch open without an answer. Change: versions by address; what is older than what has come meanwhile is left out; one answer that goes back behind what was held when it was asked for is doubted, a whole list that says so again is believed; news of the former address is a kind of its own (`News.FORMER`) that says nothing of the call under way; a line has as long as a call; nothing is asked once it is closed; failures are summed. Result: 10 tests on real sockets, the order forced by the stand-in.

--- a/cottonladder/decisions/interface.py
+++ b/cottonladder/decisions/interface.py
@@ -20,12 +20,13 @@
 
 
 class News(IntEnum):
-    """How much of the list a `Listing` carries."""
+    """How much of the list a `Listing` carries; `FORMER`: changes, from where it is no longer asked for."""
 
     FULL = 0
     FAILED = 1
     DELTA = 2
     CACHED = 3
+    FORMER = 4
 
 
 class Further(IntEnum):
--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -258,7 +258,7 @@
         self._judge()
 
     def _listing(self, listing: it.Listing) -> None:
-        if listing.news != it.News.CACHED:  # a call that failed is made again
+        if listing.news not in (it.News.CACHED, it.News.FORMER):  # a call that failed is made again
             again = self.now + self.terms.ask_within * self.uniform(0.1, 0.2)
             self.follow_at = again if listing.news == it.News.FAILED else math.inf
         whole = listing.news in (it.News.FULL, it.News.CACHED)
--- a/cottonladder/wire/discovery.py
+++ b/cottonladder/wire/discovery.py
@@ -12,6 +12,7 @@
 import structlog
 
 from ..decisions import interface as it
+from .faults import Faults
 from .terms import NUMBER, HostPort, WireError, address, field, seconds
 
 SILENCE = 3.0  # s without a byte: discovery writes at least an empty line each 2 s, and fails calls after 2 s
@@ -54,11 +55,23 @@
 
 
 @dataclass(eq=False, slots=True)
-class Watch:
-    """One call for changes, at the address that held when it was made; `answered`: it brought something."""
+class Origin:
+    """One address of discovery and how far its list has been believed: each counts its versions by itself."""
 
     url: str
+    version: int
+    whole: bool = False  # the next call asks for the whole list first
+    went_back: bool = False  # it said a lower version than it had: it may have started over
+
+
+@dataclass(eq=False, slots=True)
+class Watch:
+    """One call for changes, at the address that held when it was made; `answered`: it brought something;
+    `last`: the version asked with, then that of its own last line."""
+
+    origin: Origin
     answered: bool = False
+    last: int = 0
     task: asyncio.Task[None] | None = None
 
     def running(self) -> bool:
@@ -71,26 +84,36 @@
 
 class Discovery:
     """Owns its session and at most one watch and one call for the list; calls are never piled up.  After a
-    move the watch at the former address counts on until the new one has answered, so that no gap opens."""
+    move the watch at the former address counts on until the new one has answered, so that no gap opens.
+
+    A call's answer and a watch's lines overtake each other.  What is older than what has come meanwhile is
+    left out; only what goes back behind what was held when it was asked for, twice, is a list begun anew."""
 
     def __init__(
         self, at: HostPort, site: Zones, learn: Learn, post: Callable[[it.Input], None], version: int,
         further: Callable[[dict[str, Any]], None] | None = None,
     ) -> None:  # fmt: skip
         self._further = further  # told each entry as it came, for fields beside the protocol's
-        self._url = _url(at)
-        self._site, self._learn, self._post, self.version = site, learn, post, version
+        self._origin = Origin(_url(at), version)
+        self._site, self._learn, self._post = site, learn, post
+        self._faults = Faults("discovery call failed")
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
         self._watch: Watch | None = None
         self._former: Watch | None = None
         self._call: asyncio.Task[None] | None = None
-        self._whole = False  # the next call asks for the whole list first
+        self._closed = False
         quiet = aiohttp.ClientTimeout(total=None, sock_connect=SILENCE, sock_read=SILENCE)
         self._session = aiohttp.ClientSession(
             timeout=quiet, connector=aiohttp.TCPConnector(force_close=True, limit=4)
         )
 
+    @property
+    def version(self) -> int:
+        return self._origin.version
+
     def follow(self, on: bool) -> None:
+        if self._closed:
+            return
         if self._watch is not None and self._watch.running():
             if on and not self._watch.answered:
                 return  # the call made is still under way: discovery takes calls one after another
@@ -100,14 +123,16 @@
             self._let_go()
 
     def fetch(self) -> None:
-        if self._call is None or self._call.done():
-            self._call = asyncio.create_task(self._run(self._fetch(self._url)))
+        if not self._closed and (self._call is None or self._call.done()):
+            self._call = asyncio.create_task(self._run(self._fetch(self._origin)))
 
     def move(self, at: HostPort) -> None:
         """Discovery stands elsewhere now: asked at once, and for the whole list, as nobody says that the new
         one counts its versions as the old one did.  Guards against a list that stands still when the old one
         closes; harms nobody but for one list more."""
-        self._url, self._whole = _url(at), True
+        if self._closed:
+            return
+        self._origin = Origin(_url(at), self.version, whole=True)
         if self._call is not None:
             self._call.cancel()
         if self._watch is not None:
@@ -124,7 +149,7 @@
             self._former = None
 
     def _open(self) -> Watch:
-        watch = Watch(self._url)
+        watch = Watch(self._origin)
         watch.task = asyncio.create_task(self._run(self._follow(watch), watch))
         return watch
 
@@ -132,38 +157,36 @@
         try:
             return await call
         except (aiohttp.ClientError, TimeoutError, OSError, WireError) as exc:
-            self.log.info("discovery call failed", why=str(exc) or type(exc).__name__)
+            self._faults.sum_up(asyncio.get_running_loop().time())
+            self._faults.note(str(exc) or type(exc).__name__)
         except Exception:  # a fault of ours: unheard, the module would think that it follows
             self.log.exception("discovery call failed", why="a fault of this program")
-        if watch is None or watch is not self._former:
-            self._post(it.Listing(it.News.FAILED, ()))
+        if watch is not None and watch is self._former:
+            self._former = None  # the call at the new address speaks for itself
         else:
-            self._former = None
-            self._still_failed()
-
-    def _still_failed(self) -> None:
-        """What the former address says would hide from the module that the new one is yet to be followed."""
-        if self._watch is None or not self._watch.running():
             self._post(it.Listing(it.News.FAILED, ()))
 
-    async def _fetch(self, url: str) -> None:
+    async def _fetch(self, origin: Origin) -> None:
         once = aiohttp.ClientTimeout(total=CALL_WAIT, sock_connect=SILENCE, sock_read=SILENCE)
-        async with self._session.get(url, timeout=once) as reply:
+        asked = origin.version
+        async with self._session.get(origin.url, timeout=once) as reply:
             self._expect(reply)
             text = b"".join([line async for line in _lines(reply, LIST_MOST, b"")])
-            self._take(text)
+            self._take(text, origin, asked)
 
     async def _follow(self, watch: Watch) -> None:
-        if self._whole:
-            await self._fetch(watch.url)
-            self._whole = False
+        origin = watch.origin
+        if origin.whole:
+            await self._fetch(origin)
+            origin.whole = False
             self._heard(watch)
-        query = {"watch": "1", "after": str(self.version)}
-        async with self._session.get(watch.url, params=query) as reply:
+        watch.last = origin.version
+        query = {"watch": "1", "after": str(origin.version)}
+        async with self._session.get(origin.url, params=query) as reply:
             self._expect(reply)
             async for line in _lines(reply, LIST_MOST, b"\n"):
                 if line.strip():
-                    self._take(line)
+                    watch.last = self._take(line, origin, watch.last, watch)
                 elif not watch.answered:  # nothing has changed: the call is answered all the same
                     self._post(it.Listing(it.News.DELTA, ()))
                 self._heard(watch)
@@ -173,32 +196,42 @@
         watch.answered = True
         if watch is self._watch:
             self._let_go()
-        elif watch is self._former:
-            self._still_failed()
 
     @staticmethod
     def _expect(reply: aiohttp.ClientResponse) -> None:
         if reply.status != 200:
             raise WireError(f"discovery: status {reply.status}")
 
-    def _take(self, text: bytes) -> None:
+    def _take(self, text: bytes, origin: Origin, asked: int, watch: Watch | None = None) -> int:
+        """The version that the text has; `asked`: the least that it may have.  One of a version back behind
+        that is refused and the whole list asked for; a whole list that says so too is believed."""
         try:
             body = json.loads(text)
-            if field(body, "version", int, "list") < self.version:
-                held, self.version, self._whole = self.version, 0, True  # it may have started over
-                raise WireError(f"list: version {body['version']} after {held}")
+            version: int = field(body, "version", int, "list")
+            if version < asked:
+                again, origin.went_back, origin.whole = origin.went_back, True, True
+                if watch is not None or not again:
+                    raise WireError(f"list: version {version} after {asked}")
+            elif version < origin.version:  # overtaken: what has come meanwhile holds all that it says
+                if watch is not None and not watch.answered:
+                    self._post(it.Listing(it.News.DELTA, ()))
+                return version
             version, listing = read_list(body, self._site, self._learn, "list")
         except (RecursionError, OverflowError) as exc:
             raise WireError(f"list: {exc}") from None
         except json.JSONDecodeError:
             raise WireError("list: not JSON") from None
-        self.version = version
+        origin.version, origin.went_back = version, False
         if self._further is not None:
             for entry in body["servers"]:
                 self._further(entry)
-        self._post(listing)
+        # What the former address says tells nothing of the call under way at the new one.
+        former = watch is not None and watch is self._former
+        self._post(it.Listing(it.News.FORMER, listing.entries) if former else listing)
+        return version
 
     async def close(self) -> None:
+        self._closed = True
         calls = [watch.task for watch in (self._watch, self._former) if watch is not None]
         tasks = [task for task in (*calls, self._call) if task is not None]
         for task in tasks:
@@ -213,8 +246,13 @@
 
 async def _lines(reply: aiohttp.ClientResponse, most: int, end: bytes) -> AsyncIterator[bytes]:
     """Whole lines, or with no end given all of it; a rest that was cut off is an error, not a line."""
-    rest = bytearray()
+    rest, loop = bytearray(), asyncio.get_running_loop()
+    begun = loop.time()
     async for chunk in reply.content.iter_any():
+        if not rest:
+            begun = loop.time()
+        elif end and loop.time() - begun > CALL_WAIT:  # a byte now and then would hold the call for ever
+            raise WireError("list: a line that does not end")
         rest += chunk
         while end and (at := rest.find(end)) >= 0:
             yield bytes(rest[:at])
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import tempfile
+import unittest
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, TypeVar
@@ -137,9 +138,12 @@
         self.folder = Path(tempfile.mkdtemp())
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config) if config is None else config)
+        await self.run(path)
+
+    async def run(self, path: Path, **env: str) -> None:
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-B", "-m", "cottonladder", "serve",
-            env={**os.environ, "ROUTER_CONFIG": str(path)}, stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "ROUTER_CONFIG": str(path), **env}, stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE, cwd=Path(__file__).parents[1],
         )  # fmt: skip
         self.reading = asyncio.create_task(self._read())
@@ -188,3 +192,39 @@
         await soon(self.reading)
         shutil.rmtree(self.folder)
         return status
+
+
+class Rig(unittest.IsolatedAsyncioTestCase):
+    """A discovery, programs beside it and who speaks to them, each ended with the test."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)  # its traces would hold thousands of dials up
+        self.discovery = Discovery()
+        self.at = await self.host(self.discovery.handle)
+
+    async def host(self, handler: Handler) -> str:
+        at, runner = await host(handler)
+        self.addAsyncCleanup(runner.cleanup)
+        return at
+
+    async def serving(self, **changes: Any) -> Program:
+        program = Program(self.at, **changes)
+        await program.serving()
+        self.addAsyncCleanup(self.end, program)
+        return program
+
+    async def end(self, program: Program) -> None:
+        if program.process.returncode is None:
+            await program.stop()
+
+    async def connect(self, program: Program, first: str = "") -> Client:
+        client = await program.connect()
+        self.addCleanup(client.close)
+        if first:
+            client.say(first)
+        return client
+
+    async def join(self, program: Program, node: int, cold: int = 1) -> Client:
+        proxy = await self.connect(program)
+        proxy.join(node, cold=cold)
+        return proxy
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,255 @@
+"""Where two events cross, on real sockets: the stand-in or the turn of the loop forces the order, and each
+test fails without its fix.  `docs/crossings.md` has the whole table."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import Any, cast
+from unittest import mock
+
+from aiohttp import web
+
+from cottonladder.decisions import interface as it
+from cottonladder.state.workers import Workers
+from cottonladder.wire import discovery
+from cottonladder.wire.terms import read_site
+from tests.standins import SETTINGS, Discovery, Handler, Rig, entry, host, listing, soon
+
+SITE = read_site(SETTINGS, 1, "settings")
+READY, DRAINING = entry("s-1"), entry("s-1", "Terminating")
+
+
+def held(until: asyncio.Event, body: dict[str, Any]) -> Handler:
+    """The head at once, the body only then."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        reply = web.StreamResponse()
+        await reply.prepare(request)
+        await until.wait()
+        await reply.write(json.dumps(body).encode())
+        return reply
+
+    return handle
+
+
+def answer(body: dict[str, Any]) -> Handler:
+    ready = asyncio.Event()
+    ready.set()
+    return held(ready, body)
+
+
+class Lists(unittest.IsolatedAsyncioTestCase):
+    """A follower against a scripted discovery."""
+
+    async def asyncSetUp(self) -> None:
+        self.heard: asyncio.Queue[it.Listing] = asyncio.Queue()
+        self.workers = Workers()
+        self.there, self.at = await self.discovery()
+        self.follower = discovery.Discovery(
+            self.at, SITE, self.workers.learn, lambda item: self.heard.put_nowait(cast(it.Listing, item)), 41
+        )
+        self.addAsyncCleanup(self.follower.close)
+
+    async def discovery(self) -> tuple[Discovery, tuple[str, int]]:
+        there = Discovery()
+        at, runner = await host(there.handle)
+        self.addAsyncCleanup(runner.cleanup)
+        return there, ("127.0.0.1", int(at.split(":")[1]))
+
+    async def news(self, *wanted: tuple[it.News, it.Mode | None]) -> None:
+        """The next listings, each with the state of its first worker."""
+        for news, mode in wanted:
+            came = await soon(self.heard.get())
+            self.assertEqual((came.news, came.entries[0].mode if came.entries else None), (news, mode))
+
+    async def following(self) -> None:
+        self.follower.follow(True)
+        await self.news((it.News.DELTA, None))
+
+    async def test_an_answer_that_the_watch_overtook_is_left_out(self) -> None:
+        """It was written before the drain and comes after it: no fault of discovery's, and nobody returns."""
+        late = asyncio.Event()
+        await self.following()
+        self.there.script = [held(late, listing(42, READY, full=True))]
+        self.follower.fetch()
+        await soon(self.there.calls.get())
+        await soon(self.there.calls.get())
+        await self.there.tell(listing(44, DRAINING))
+        await self.news((it.News.DELTA, it.Mode.DRAINING))
+        late.set()
+        await soon(cast(asyncio.Task[None], self.follower._call))
+        self.assertEqual(self.follower.version, 44)
+        await self.there.tell(listing(45, entry("s-2")))
+        await self.news((it.News.DELTA, it.Mode.READY))
+
+    async def test_a_line_that_a_calls_answer_overtook_is_left_out(self) -> None:
+        await self.following()
+        self.there.script = [answer(listing(45, DRAINING, full=True))]
+        self.follower.fetch()
+        await self.news((it.News.FULL, it.Mode.DRAINING))
+        await self.there.tell(listing(44, READY), listing(46, entry("s-2", "Gone")))
+        await self.news((it.News.DELTA, it.Mode.GONE))
+        self.assertEqual(self.follower.version, 46)
+
+    async def test_the_first_line_of_a_watch_that_was_overtaken_answers_it(self) -> None:
+        late = asyncio.Event()
+
+        async def watch(request: web.BaseRequest) -> web.StreamResponse:
+            reply = web.StreamResponse()
+            await reply.prepare(request)
+            await late.wait()
+            await reply.write(json.dumps(listing(44, READY)).encode() + b"\n")
+            await asyncio.Event().wait()
+            return reply
+
+        self.there.script = [watch, answer(listing(45, DRAINING, full=True))]
+        self.follower.follow(True)
+        await soon(self.there.calls.get())
+        self.follower.fetch()
+        await self.news((it.News.FULL, it.Mode.DRAINING))
+        late.set()
+        await self.news((it.News.DELTA, None))  # else the module would ask again
+        self.assertEqual(self.follower.version, 45)
+
+    async def test_an_old_answer_is_not_believed_for_a_list_begun_anew(self) -> None:
+        """An answer of a version back is doubted, the whole list asked for; one of 41 or more is believed."""
+        old, anew = answer(listing(40, READY, full=True)), answer(listing(47, DRAINING, full=True))
+        self.there.script = [old, anew]
+        self.follower.fetch()
+        await self.news((it.News.FAILED, None))
+        self.assertEqual(self.follower.version, 41)  # an older one than that is not believed either
+        self.follower.fetch()
+        await self.news((it.News.FULL, it.Mode.DRAINING))
+
+    async def test_a_list_that_began_anew_is_believed_the_second_time(self) -> None:
+        for news in (it.News.FAILED, it.News.FULL):
+            self.there.script = [answer(listing(1, entry("s-7"), full=True))]
+            self.follower.fetch()
+            await self.news((news, it.Mode.READY if news == it.News.FULL else None))
+        self.assertEqual(self.follower.version, 1)
+
+    async def test_a_new_address_counts_its_versions_by_itself(self) -> None:
+        """The former one's lines come between the two answers that it takes to believe a lower version."""
+        await self.following()
+        there, at = await self.discovery()
+        there.script = [answer(listing(12, entry("s-7"), full=True)) for _ in range(2)]
+        self.follower.move(at)
+        await self.news((it.News.FAILED, None))
+        await self.there.tell(listing(52, DRAINING))
+        await self.news((it.News.FORMER, it.Mode.DRAINING))
+        self.follower.follow(True)
+        await self.news((it.News.FULL, it.Mode.READY))
+        self.assertEqual(self.follower.version, 12)
+        self.assertIsNone(self.follower._former)
+
+    async def test_a_byte_now_and_then_is_no_answer(self) -> None:
+        """Bytes come in time, the line's end never does: the call is over all the same."""
+
+        async def trickling(request: web.BaseRequest) -> web.StreamResponse:
+            reply = web.StreamResponse()
+            await reply.prepare(request)
+            while True:
+                await reply.write(b"{")
+                await asyncio.sleep(0.01)
+
+        self.there.script = [trickling]
+        with mock.patch.object(discovery, "CALL_WAIT", 0.1):
+            self.follower.follow(True)
+            await self.news((it.News.FAILED, None))
+
+    async def test_answers_that_are_none(self) -> None:
+        """Each is a failed call; the list that was believed stands."""
+        head = b"HTTP/1.1 200 OK\r\n"
+        whole = json.dumps(listing(43, DRAINING)).encode()
+        for said in (
+            b"HTTP/9 what\r\n\r\n",
+            b"",
+            head + b"Content-Length: 900\r\n\r\n" + whole,
+            head + b"Transfer-Encoding: chunked\r\n\r\nZZ\r\n" + whole,
+            head + b"Transfer-Encoding: chunked\r\n\r\n40\r\n" + whole[:9],
+            head + b"Content-Length: %d\r\n\r\n" % len(whole) + whole,  # a line without its end
+            head + b"\r\n" + whole[:30],
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        ):
+            with self.subTest(said):
+
+                async def speak(
+                    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, said: bytes = said
+                ) -> None:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(said)
+                    writer.close()
+
+                server = await asyncio.start_server(speak, "127.0.0.1", 0)
+                self.follower._origin.url = discovery._url(server.sockets[0].getsockname()[:2])
+                self.follower.follow(True)
+                await self.news((it.News.FAILED, None))
+                self.assertEqual(self.follower.version, 41)
+                server.close()
+
+    async def test_nothing_is_asked_once_it_is_closed(self) -> None:
+        """A SIGHUP that meets the stop, or a retry that was due."""
+        await self.following()
+        await soon(self.there.calls.get())
+        before = asyncio.all_tasks()
+        await self.follower.close()
+        self.follower.move(self.at)
+        self.follower.follow(True)
+        self.follower.fetch()
+        self.assertEqual(asyncio.all_tasks() - before, set())
+
+
+class Moves(Rig):
+    async def test_a_former_address_that_speaks_on_does_not_put_the_new_one_off(self) -> None:
+        """The new one fails once.  Each of the former one's lines used to set the retry's time anew."""
+        program = await self.serving()
+        former = await soon(self.discovery.watches.get())
+        new, again = Discovery(), asyncio.Event()
+
+        async def busy(request: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(status=503)
+
+        async def asked(request: web.BaseRequest) -> web.StreamResponse:
+            again.set()
+            return web.Response(status=503)
+
+        async def speak_on() -> None:  # far more often than calls are made again
+            for version in range(42, 100_000):
+                await former.write(json.dumps(listing(version, READY)).encode() + b"\n")
+                await asyncio.sleep(0.05)
+
+        new.script = [busy, asked]
+        speaking = asyncio.create_task(speak_on())
+        self.addAsyncCleanup(asyncio.gather, speaking, return_exceptions=True)
+        self.addCleanup(speaking.cancel)
+        program.reload(discovery=await self.host(new.handle))
+        await program.logged("configuration taken")
+        await soon(again.wait())
+
+
+STUB = """
+import os, sys
+with open(os.environ["HELD"]) as held:
+    held.read()
+sys.path.remove(os.path.dirname(__file__))
+del sys.modules["structlog"]
+import structlog
+"""
+CLOSED = """
+import asyncio, os, signal, sys
+from cottonladder.lifecycle import cli, signals
+sys.argv[1:] = ["serve"]
+signals.hold(sys.argv)
+async def serving():
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, print, "told")
+asyncio.run(cli._sealed(serving()))
+os.kill(os.getpid(), signal.SIGTERM)
+print("ended")
+"""
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -29,7 +29,7 @@
 from cottonladder.wire.peers import Peers
 from cottonladder.wire.resp import MESSAGE_MOST, Reader
 from cottonladder.wire.terms import WireError, read_site
-from tests.standins import SETTINGS, Client, Discovery, Handler, Program, entry, host, listing, soon
+from tests.standins import SETTINGS, Discovery, Handler, Program, Rig, entry, listing, soon
 
 
 def raw(text: str, status: int = 200) -> Handler:
@@ -45,38 +45,7 @@
     return handle
 
 
-class Programs(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        self.discovery = Discovery()
-        self.at = await self.host(self.discovery.handle)
-
-    async def host(self, handler: Handler) -> str:
-        at, runner = await host(handler)
-        self.addAsyncCleanup(runner.cleanup)
-        return at
-
-    async def serving(self, **changes: Any) -> Program:
-        program = Program(self.at, **changes)
-        await program.serving()
-        self.addAsyncCleanup(self.end, program)
-        return program
-
-    async def end(self, program: Program) -> None:
-        if program.process.returncode is None:
-            await program.stop()
-
-    async def connect(self, program: Program, first: str = "") -> Client:
-        client = await program.connect()
-        self.addCleanup(client.close)
-        if first:
-            client.say(first)
-        return client
-
-    async def join(self, program: Program, node: int, cold: int = 1) -> Client:
-        proxy = await self.connect(program)
-        proxy.join(node, cold=cold)
-        return proxy
-
+class Programs(Rig):
     async def test_a_day_in_small(self) -> None:
         """Joins are bound, marks answered, reports taken, a drain told; then a clean stop and a new start."""
         program = await self.serving()
