Signals at every stage: none is lost during a start, and none changes how a stop ends

Cause: no handler stood before the loop, so SIGTERM ended a start with status -15 and SIGHUP while modules are imported ended it too (`cli.serve` ignored SIGHUP only after the imports). Ignored from there until `serve` had its handler, a SIGHUP after the file was read was lost, and a change of discovery with it. `loop.close` gives signals back to the system: a second SIGTERM behind it ended with -15. A SIGHUP during the stop could open a watch on a closed session. A connection accepted in the turn of `Address.close` was opened after it, answered pings and took joins until the process ended. The owner's task was cancelled and not awaited while what it uses was closed. Change: `lifecycle/signals.py` holds the three signals from the first line on, `serve` reloads once where one was missed, the last act before the loop closes blocks them; the reload closes with the rest; a late connection is ended as it opens; the owner's task is awaited; 1,600 streams that end at a stop are one line of the log instead of 1,600. Result: 8 tests, stages held open by a pipe (a stub of a library, the configuration as a FIFO).

--- a/cottonladder/forwarder/run.py
+++ b/cottonladder/forwarder/run.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 from ..decisions import interface as it
+from ..lifecycle import signals
 from ..lifecycle.operators import Operator, PluginsPart, host_port, kinds_of, most_of, read_operator
 from ..state.workers import Workers as Known
 from ..wire import upgrades
@@ -391,6 +392,8 @@
         forwarder.load_plugins(forwarder.part.plugins)
         await _background(forwarder, operator, stack)
         loop.add_signal_handler(signal.SIGHUP, _reload, forwarder, path)
+        if signals.missed():
+            _reload(forwarder, path)
         port = await forwarder.start(stack)
         status = await _status(forwarder, stack) if forwarder.part.status else 0
         gc.freeze()  # what a start made stays: collections pass over it
--- a/cottonladder/lifecycle/cli.py
+++ b/cottonladder/lifecycle/cli.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import socket
 import sys
+from collections.abc import Awaitable
 from importlib import metadata
 from typing import TYPE_CHECKING
 
@@ -15,6 +15,7 @@
 from .. import __version__
 from ..wire.messages import PING, PONG
 from ..wire.terms import WireError, address
+from . import signals
 from .manager import kept
 from .manager import serve as serve_manager
 from .placement import Placement, read_placement
@@ -56,6 +57,12 @@
     )
 
 
+async def _sealed(serving: Awaitable[None]) -> None:
+    """While the loop still holds the signals: closing it gives them back to the system."""
+    await serving
+    signals.seal()
+
+
 def _read(path: str) -> Placement:
     try:
         return read_placement(path)
@@ -74,10 +81,10 @@
 @OPERATOR
 def serve(path: str, operators: str) -> None:
     """Serve proxies until SIGTERM; SIGHUP has the configuration read anew."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before the file is read there is nothing to read anew
     _log()
+    signals.reading()
     placement = _read(path)
-    asyncio.run(serve_manager(placement, path, _operator(operators)))
+    asyncio.run(_sealed(serve_manager(placement, path, _operator(operators))))
 
 
 @main.command()
@@ -87,12 +94,13 @@
     from ..forwarder.run import serve as serve_forwarder
 
     _log()
+    signals.reading()
     operator = _operator(operators)
     if operator is None or operator.forwarder is None:
         click.echo(f"{operators}: $.forwarder: expected, as this is a forwarder's start", err=True)
         sys.exit(2)
     try:
-        asyncio.run(serve_forwarder(operator, operators))
+        asyncio.run(_sealed(serve_forwarder(operator, operators)))
     except WireError as exc:
         click.echo(f"{operators}: {exc}", err=True)
         sys.exit(2)
--- a/cottonladder/lifecycle/manager.py
+++ b/cottonladder/lifecycle/manager.py
@@ -21,6 +21,7 @@
 from ..wire.peers import Peers
 from ..wire.probes import Probes
 from ..wire.terms import WireError
+from . import signals
 from .owner import Beside, Hands, Inbox, Owner
 from .placement import Placement, read_placement
 
@@ -62,9 +63,16 @@
 
     def __init__(self, path: str, held: Placement, discovery: Discovery, address: Address) -> None:
         self._path, self._held, self._discovery, self._address = path, held, discovery, address
+        self._closed = False
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
 
+    def close(self) -> None:
+        """The handler stands until the loop is closed, longer than what it changes."""
+        self._closed = True
+
     def __call__(self) -> None:
+        if self._closed:
+            return
         held = self._held
         try:
             new = read_placement(self._path)
@@ -181,12 +189,16 @@
         port = await address.listen(*placement.listen)
         log.info("serving", name=placement.name, host=placement.listen[0], port=port)
         reload = Reload(file, placement, discovery, address)
+        stack.callback(reload.close)
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+        if signals.missed():
+            reload()
         running = asyncio.create_task(owner.run())
         stopping = asyncio.create_task(stop.wait())
         await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
         stopping.cancel()
         if running.done():
             running.result()  # raises what ended it
-        running.cancel()
         log.info("stopping", name=placement.name)
+        running.cancel()  # and ended, before what it uses is closed
+        await asyncio.gather(running, return_exceptions=True)
--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -22,6 +22,7 @@
 COLLECTORS_MOST = 4  # of a zone, which has one: a new one may come before the last is seen to end
 OLD_WAIT = 5.0  # s: for the end of a stream whose place was taken; one that went silent never tells
 SUM_UP, WHYS_MOST = 10.0, 64  # s between two lines of one kind of fault; kinds kept apart meanwhile
+STOPS = "the manager stops"
 NEW, COLLECTOR, STREAM, OLD = "new", "collector", "stream", "old"  # OLD: another stream took its place
 
 
@@ -37,6 +38,7 @@
     def __init__(self, address: Address) -> None:
         self.address, self.reader, self.state = address, Reader(FIRST_MOST), NEW
         self.proxy, self.zone, self.peer, self.why, self.heard = -1, -1, "", "", 0.0
+        self.number = 0  # in the order of accepts
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -179,6 +181,8 @@
         self._old: dict[Connection, float] = {}  # since when
         self._collectors: dict[int, list[Connection]] = {}  # by zone
         self._late: list[Connection] = []  # had not joined by the last sweep
+        self._accepted = 0
+        self._closed = False
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -207,6 +211,11 @@
         self._timer = loop.call_later(SWEEP, self._sweep)
 
     def opened(self, c: Connection) -> None:
+        self._accepted += 1
+        c.number = self._accepted
+        if self._closed:  # accepted in the turn of the close, opened after it
+            c.end(STOPS)
+            return
         self._open[c] = None
         self._new[c] = asyncio.get_running_loop().time()
         if len(self._open) > self.shares.connections:
@@ -240,6 +249,8 @@
             others.remove(c)
         if c.state == STREAM:
             self.ear.left(c)
+        if self._closed:
+            return  # told of all together
         if c.state == NEW:
             self.faults.note("connection ended", why, c)
         else:
@@ -250,5 +261,8 @@
             self._timer.cancel()
         if self._server is not None:
             self._server.close()
+        self._closed = True
+        if self._open:
+            self.log.info("connections ended", more=len(self._open), why=STOPS)
         for c in list(self._open):
-            c.end("the manager stops")
+            c.end(STOPS)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,17 +5,27 @@
 
 import asyncio
 import json
+import os
+import signal
+import sys
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any, cast
 from unittest import mock
 
 from aiohttp import web
 
 from cottonladder.decisions import interface as it
+from cottonladder.lifecycle import manager
+from cottonladder.lifecycle.placement import read_placement
+from cottonladder.state.roster import Roster
 from cottonladder.state.workers import Workers
-from cottonladder.wire import discovery
+from cottonladder.wire import address, discovery
+from cottonladder.wire.messages import Mouth
+from cottonladder.wire.resp import encode
 from cottonladder.wire.terms import read_site
-from tests.standins import SETTINGS, Discovery, Handler, Rig, entry, host, listing, soon
+from tests.standins import SETTINGS, Discovery, Handler, Program, Rig, entry, host, listing, soon
 
 SITE = read_site(SETTINGS, 1, "settings")
 READY, DRAINING = entry("s-1"), entry("s-1", "Terminating")
@@ -251,5 +261,137 @@
 """
 
 
+class Starts(Rig):
+    """Signals at each stage of a start and a stop; each stage is held open by a pipe."""
+
+    async def held_program(self, name: str) -> tuple[Program, Path]:
+        program = Program(self.at)
+        program.folder = Path(self.enterContext(TemporaryDirectory()))
+        pipe = program.folder / name
+        os.mkfifo(pipe)
+        return program, pipe
+
+    async def begun(self, program: Program, **env: str) -> None:
+        path = program.folder / "config.json"
+        if not path.exists():
+            path.write_text(json.dumps(program.config))
+        await program.run(path, **env)
+        self.addAsyncCleanup(self.end, program)
+
+    async def opened(self, pipe: Path) -> int:
+        """Returns once the program has opened it for reading."""
+        return await soon(asyncio.to_thread(os.open, pipe, os.O_WRONLY))
+
+    async def importing(self) -> tuple[Program, int]:
+        program, pipe = await self.held_program("held")
+        (program.folder / "structlog.py").write_text(STUB)
+        await self.begun(program, HELD=str(pipe), PYTHONPATH=str(program.folder))
+        return program, await self.opened(pipe)
+
+    async def test_a_reload_while_modules_are_imported(self) -> None:
+        program, held = await self.importing()
+        program.process.send_signal(signal.SIGHUP)
+        os.close(held)
+        await program.logged("event=serving")
+
+    async def test_a_stop_while_modules_are_imported(self) -> None:
+        program, held = await self.importing()
+        program.process.send_signal(signal.SIGTERM)
+        errors = await soon(cast(asyncio.StreamReader, program.process.stderr).read())
+        self.assertEqual((await program.ended(), errors, program.lines), (0, b"", []))
+        os.close(held)
+
+    async def test_a_reload_after_the_file_was_read(self) -> None:
+        """The first reading is held in the middle; the file is another by the time that a handler stands."""
+        program, pipe = await self.held_program("config.json")
+        await self.begun(program)
+        held = await self.opened(pipe)
+        os.write(held, json.dumps(program.config).encode())
+        new = Discovery()
+        at = await self.host(new.handle)
+        other = program.folder / "other"
+        other.write_text(json.dumps({**program.config, "discovery": at}))
+        other.replace(pipe)
+        program.process.send_signal(signal.SIGHUP)
+        os.close(held)
+        await program.logged("configuration taken", f"discovery={at}")
+        self.assertEqual(await soon(new.calls.get()), "/v1/servers")
+
+    async def test_a_stop_while_the_file_is_read(self) -> None:
+        program, pipe = await self.held_program("config.json")
+        await self.begun(program)
+        held = await self.opened(pipe)
+        program.process.send_signal(signal.SIGTERM)
+        errors = await soon(cast(asyncio.StreamReader, program.process.stderr).read())
+        self.assertEqual((await program.ended(), errors), (0, b""))
+        os.close(held)
+
+    async def test_a_second_stop_once_the_loop_is_closed(self) -> None:
+        ended = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-c", CLOSED, cwd=Path(__file__).parents[1],
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        said, errors = await soon(ended.communicate())
+        self.assertEqual((ended.returncode, said, errors), (0, b"ended\n", b""))
+
+    async def test_signals_all_at_once_while_proxies_join(self) -> None:
+        """A join half said, orders half written to who reads nothing, reloads before and after the stop."""
+        known = [entry(f"s-{n:04}") for n in range(400)]
+        program = await self.serving(known=listing(41, *known, full=True))
+        proxies = await asyncio.gather(*(self.connect(program) for _ in range(8)))
+        for node, proxy in enumerate(proxies):
+            proxy.join(node)
+        await proxies[0].hear_of("replace")
+        half = await self.connect(program)
+        half.writer.write(encode(b"SUBSCRIBE node 7 locality a w 1.0 cold 1".split())[:40])
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
+            os.kill(program.process.pid, number)
+        errors = await soon(cast(asyncio.StreamReader, program.process.stderr).read())
+        self.assertEqual((await program.ended(), errors), (0, b""))
+        for client in (*proxies, half):
+            await client.ended()
+
+    async def test_a_reload_that_meets_the_stop(self) -> None:
+        program = await self.serving()
+        placement = read_placement(str(program.folder / "config.json"))
+        program.config["discovery"] = await self.host(Discovery().handle)
+        (program.folder / "config.json").write_text(json.dumps(program.config))
+        follower, where = mock.Mock(), mock.Mock()
+        reload = manager.Reload(str(program.folder / "config.json"), placement, follower, where)
+        reload.close()
+        reload()
+        follower.move.assert_not_called()
+
+
+class Streams(Rig):
+    """One manager's address in this process: the turns of the loop are the test's own."""
+
+    async def listening(self, most: int = 64) -> None:
+        self.heard: asyncio.Queue[it.Input | Any] = asyncio.Queue()
+        self.roster = Roster(self.heard.put_nowait)
+        shares = address.Shares(most, 8, 4, 1 << 20)
+        self.where = address.Address(Mouth(SITE, lambda key: None), self.roster, shares)
+        self.program = Program("")
+        self.program.port = await self.where.listen("127.0.0.1", 0)
+        self.addAsyncCleanup(self.where.close)
+
+    async def test_a_connection_accepted_in_the_turn_of_the_close(self) -> None:
+        """It was opened behind the close, answered pings and took joins until the process ended."""
+        await self.listening()
+        closing: list[asyncio.Task[None]] = []
+
+        class Accepted(address.Connection):
+            def __init__(self, where: address.Address) -> None:
+                super().__init__(where)
+                closing.append(asyncio.create_task(where.close()))  # before it is opened, in this turn
+
+        with mock.patch.object(address, "Connection", Accepted):
+            client = await self.connect(self.program, "PING")
+            await client.ended()
+        self.assertEqual((len(closing), client.come), (1, []))
+        with self.assertRaises(EOFError):
+            await client.hear()
+
+
 if __name__ == "__main__":
     unittest.main()
