Streams and probes: the later dial holds, one probe a worker, no answer for one that moved

Cause: `Roster.joined` took the stream read last for the newest. A proxy whose stream breaks dials again; a late loop that finds both readable may read the second one first. The first one then took its place, ended a turn later, and the proxy was left without orders on a stream held for replaced, until it was ended after 5 s. `Probes.send` made a task for each order: with a worker that hangs two were under way at once (a look is 0.25 s, a probe 0.5 s), so two lost ones of before its new start could shut it out as it came up, and behind a hundred hung ones they piled up. An answer was booked on the worker wherever it stood by then. Change: connections are numbered as they are accepted, and the higher one holds; one probe of a worker at a time; an answer from an address that the worker no longer has is dropped, and it is asked again at the next look.

--- a/cottonladder/state/roster.py
+++ b/cottonladder/state/roster.py
@@ -18,6 +18,10 @@
 
     def joined(self, stream: Connection, joined: it.Joined) -> None:
         old = self._streams.get(joined.proxy)
+        if old is not None and old.number > stream.number:
+            # Dialled before the one that holds and read after it, as in a late loop: its proxy has left it.
+            stream.address.superseded(stream)
+            return
         if old is not None:
             old.address.superseded(old)
             self.post(it.Left(joined.proxy))
--- a/cottonladder/state/workers.py
+++ b/cottonladder/state/workers.py
@@ -72,4 +72,6 @@
         return self._workers[be].doubtful
 
     def address(self, be: int) -> str:
-        return self._workers[be].address
+        """Empty for one that was forgotten meanwhile."""
+        worker = self._workers.get(be)
+        return "" if worker is None else worker.address
--- a/cottonladder/wire/probes.py
+++ b/cottonladder/wire/probes.py
@@ -27,13 +27,15 @@
 
 
 class Probes:
-    """Owns its tasks and session; past `most` open at once, further ones wait for their turn."""
+    """Owns its tasks and session; past `most` open at once, further ones wait for their turn.  One is under
+    way of each worker: where many hang, probes would pile up behind them, and two that were sent to a worker
+    before it started anew would both be lost and shut it out."""
 
     def __init__(
         self, path: str, most: int, address_of: Callable[[int], str], post: Callable[[it.Input], None]
     ) -> None:
         self._path, self._address_of, self._post = path, address_of, post
-        self._tasks: dict[asyncio.Task[None], None] = {}
+        self._tasks: dict[int, asyncio.Task[None]] = {}  # by worker
         self._turn = asyncio.Semaphore(most)
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=PROBE_WAIT),
@@ -41,9 +43,9 @@
         )
 
     def send(self, be: int) -> None:
-        task = asyncio.create_task(self._probe(be, self._address_of(be)))
-        self._tasks[task] = None
-        task.add_done_callback(lambda done: self._tasks.pop(done, None))
+        if be not in self._tasks:
+            task = self._tasks[be] = asyncio.create_task(self._probe(be, self._address_of(be)))
+            task.add_done_callback(lambda done: self._tasks.pop(be, None))
 
     async def _probe(self, be: int, address: str) -> None:
         async with self._turn:
@@ -55,10 +57,11 @@
                     report = read_report(body.decode()) if done else {}
             except (aiohttp.ClientError, TimeoutError, OSError, UnicodeDecodeError, WireError):
                 pass  # no answer or none in time: not done; a report that can't be read is left out
-            self._post(it.Probed(be, done, time.monotonic() - sent, report))
+            if self._address_of(be) == address:  # else it has moved meanwhile: this is not its answer
+                self._post(it.Probed(be, done, time.monotonic() - sent, report))
 
     async def close(self) -> None:
-        tasks = list(self._tasks)
+        tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,9 +6,13 @@
 import asyncio
 import json
 import os
+import resource
 import signal
+import socket
 import sys
 import unittest
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any, cast
@@ -23,6 +27,7 @@
 from cottonladder.state.workers import Workers
 from cottonladder.wire import address, discovery
 from cottonladder.wire.messages import Mouth
+from cottonladder.wire.probes import Probes
 from cottonladder.wire.resp import encode
 from cottonladder.wire.terms import read_site
 from tests.standins import SETTINGS, Discovery, Handler, Program, Rig, entry, host, listing, soon
@@ -375,6 +380,42 @@
         self.program.port = await self.where.listen("127.0.0.1", 0)
         self.addAsyncCleanup(self.where.close)
 
+    async def test_a_stream_that_is_read_after_the_one_that_followed_it(self) -> None:
+        """A proxy's stream breaks and it dials again, while the loop is late and reads the second one first.
+        The first one took its place then, ended, and the proxy stayed without orders."""
+        await self.listening()
+        first = await self.connect(self.program)
+        second = await self.connect(self.program, "PING")
+        self.assertEqual(await second.hear(), "PONG")  # both are accepted, in this order
+        second.join(3)
+        self.assertEqual(type(await soon(self.heard.get())), it.Joined)
+        first.join(3)
+        first.say("PING")
+        self.assertEqual(await first.hear(), "PONG")
+        first.close()
+        collector = await self.connect(self.program, "SOURCE locality a")
+        collector.say("RATE node 3 route lookup total 7 errors 0 interval 1000.0")
+        self.assertEqual(type(await soon(self.heard.get())), it.Ingress)  # nobody has left or joined
+        self.roster.send(3, encode([b"CONFIG", b"stamp", b"9"]))
+        self.assertEqual(await second.hear(), "CONFIG stamp 9")
+
+    async def test_a_proxy_that_replaces_its_stream_twice_in_one_turn(self) -> None:
+        await self.listening()
+        streams = [await self.connect(self.program) for _ in range(3)]
+        for stream in streams:
+            stream.say("PING")
+            self.assertEqual(await stream.hear(), "PONG")
+        for stream in streams:  # in one turn of the loop: all is there before it reads
+            cast(socket.socket, stream.writer.get_extra_info("socket")).setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+            )
+            stream.join(3)
+            stream.say("ACK node 3 nonce 1 latency 1")
+        came = [type(await soon(self.heard.get())) for _ in range(8)]
+        self.assertEqual(came.count(it.Joined) - came.count(it.Left), 1)
+        self.roster.send(3, encode([b"CONFIG", b"stamp", b"9"]))
+        self.assertEqual(await streams[2].hear(), "CONFIG stamp 9")
+
     async def test_a_connection_accepted_in_the_turn_of_the_close(self) -> None:
         """It was opened behind the close, answered pings and took joins until the process ended."""
         await self.listening()
@@ -393,5 +434,93 @@
             await client.hear()
 
 
+class Probing(Rig):
+    async def probing(self, at: Callable[[int], str]) -> Probes:
+        self.heard: asyncio.Queue[it.Input] = asyncio.Queue()
+        probes = Probes("/load", 4, at, self.heard.put_nowait)
+        self.addAsyncCleanup(probes.close)
+        return probes
+
+    def worker(self, until: Awaitable[object]) -> tuple[Handler, asyncio.Queue[str]]:
+        asked: asyncio.Queue[str] = asyncio.Queue()
+
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            asked.put_nowait(request.path)
+            await until
+            return web.Response(text="TEXT inflight=7")
+
+        return answer, asked
+
+    async def test_an_answer_of_a_worker_that_has_moved_meanwhile(self) -> None:
+        moved: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        handler, asked = self.worker(moved)
+        old, new = await self.host(handler), await self.host(handler)
+        places = {5: old}
+        probes = await self.probing(places.__getitem__)
+        probes.send(5)
+        await soon(asked.get())
+        places[5] = new
+        moved.set_result(None)
+        await soon(probes._tasks[5])
+        self.assertTrue(self.heard.empty())
+        await asyncio.sleep(0)  # the turn in which the task's end is heard of
+        probes.send(5)
+        self.assertTrue(cast(it.Probed, await soon(self.heard.get())).done)
+
+    async def test_one_probe_of_a_worker_at_a_time(self) -> None:
+        """Of two to a worker that starts anew both came back lost, and it was shut out as it came up."""
+        until: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        handler, asked = self.worker(until)
+        at = await self.host(handler)
+        probes = await self.probing(lambda worker: at)
+        for _ in range(3):
+            probes.send(5)
+        await soon(asked.get())
+        until.set_result(None)
+        await soon(self.heard.get())
+        await probes.close()
+        self.assertTrue(self.heard.empty() and asked.empty())
+
+
+class Floods(Rig):
+    async def gone(self, stranger: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with suppress(OSError):
+            while await soon(loop.sock_recv(stranger, 4096)):
+                pass
+
+    async def test_two_thousand_dials_while_proxies_join_and_a_worker_drains(self) -> None:
+        """Half say nothing, half what can't be read.  Who joins is bound, the drain told, in their time."""
+        most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(8192, most), most))
+        program = await self.serving(limits={"memory_mb": 192, "sockets": 512})
+        resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (512, 512))
+        first = await self.join(program, 0)
+        first.ack(await first.hear_of("stamp"))
+        flood = [socket.socket() for _ in range(2000)]
+        for stranger in flood:  # the kernel takes them all: the program accepts them when it can
+            self.addCleanup(stranger.close)
+            stranger.setblocking(False)
+            stranger.connect_ex(("127.0.0.1", program.port))
+        for stranger in flood[::2]:
+            with suppress(OSError):
+                stranger.send(b"GET / HTTP/1.1\r\n\r\n")
+        proxies = [await self.join(program, node) for node in range(1, 8)]
+        await self.discovery.tell(listing(42, entry("s-1", "Terminating"), entry("s-3")))
+        for proxy in proxies:
+            await proxy.hear_of("replace")
+        await first.hear_of("s-1:0.0")
+        first.say("PING")
+        await first.hear_of("PONG")
+        for stranger in flood:
+            await self.gone(stranger)
+        status = Path(f"/proc/{program.process.pid}/status").read_text()
+        peak = int(status.split("VmHWM:")[1].split()[0])
+        self.assertLess(peak, 96 << 10)  # kB
+        self.assertEqual(await program.stop(), 0)
+        errors = await cast(asyncio.StreamReader, program.process.stderr).read()
+        self.assertEqual(errors, b"")  # no accept found the descriptors used up
+
+
 if __name__ == "__main__":
     unittest.main()
