Forwarder's stop: requests under way are awaited or answered, kept connections told to close

Cause: `Forwarder.drain` waited for tunnels only; plain requests and handshakes under way had what time `Front.close` gave them, behind the closing of stream and list, and were then cut off without an answer (aiohttp cancels the handler). A handshake under way could enter the book after `Carrier.close` had gone through it. Idle kept connections were closed as a client's next request was written on them. A call and a watch of the list that fail together left a timer that nobody cancelled, and failed calls came back at one pace.

--- a/cottonladder/forwarder/carry.py
+++ b/cottonladder/forwarder/carry.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import structlog
@@ -36,6 +36,7 @@
 HELD_TURNS = 3  # workers that a handshake is offered to before the client is told to come back
 WHYS_MOST = 32  # ways to end told apart between two lines
 OUTCOME = "outcome unknown"
+ANSWER_WAIT = 1.0  # s that the last answers have at the stop
 
 
 class Body:
@@ -81,6 +82,8 @@
         self.front = Front(most, self.handle)
         self.workers = Workers(most)
         self.stopping = False
+        self.underway: dict[asyncio.Task[Any], None] = {}  # requests and handshakes without their answer yet
+        self._given_up = False
         self.hooks: Chain | None = None  # plug-ins, where the file names some
         self.labels: Mapping[str, frozenset[str]] = {}
         self.fall_back, self.headers_allowed = True, frozenset[str]()
@@ -94,9 +97,27 @@
     def _away(self, status: int, text: str, wait: float = TURNED_AWAY) -> web.Response:
         """An answer at once to what is not served, with when to come back."""
         again = come_back(wait, self._chance.random())
-        return web.Response(status=status, text=text + "\n", headers={"Retry-After": str(again)})
+        answer = web.Response(status=status, text=text + "\n", headers={"Retry-After": str(again)})
+        if self.stopping:
+            answer.force_close()  # or the client's next request would meet the connection's end
+        return answer
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Whatever is left of them at the stop's end is answered then, not cut off without a word."""
+        task = asyncio.current_task()
+        assert task is not None
+        self.underway[task] = None
+        try:
+            return await self._carry(request)
+        except asyncio.CancelledError:
+            if not self._given_up or request.get("answering"):
+                raise  # its client has gone, or has a part of the answer
+            task.uncancel()
+            return self._failed(True) if request.get("sent") else self._away(503, "this forwarder stops")
+        finally:
+            del self.underway[task]
+
+    async def _carry(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.rel_url.raw_path
         kind = kind_of(self._kinds, request.method, path, request.headers)
         if kind is None:
@@ -206,12 +227,14 @@
             wait = min(self._most.first_byte_wait, max(LEAST_WAIT, deadline - begun))
             data = body.pieces() if isinstance(body, Body) else body
             req = Req(request.method, request.raw_path, headers, data)
+            request["sent"] = True
             try:
                 answer = await self.workers.send(address, req, wait)
             except WorkerError as exc:
                 if isinstance(body, Body) and body.over:
                     return web.Response(status=413, text="body over its size\n")
                 tries, ran = tries + 1, ran or exc.ran
+                request["sent"] = ran
                 once = isinstance(body, Body) and body.begun  # what was read of it can't be sent again
                 self._tried(be, False, begun)
                 without.append(be)
@@ -260,6 +283,7 @@
             and answer.status not in (204, 304)
         ):
             reply.enable_chunked_encoding()
+        request["answering"] = True
         try:
             await asyncio.wait_for(reply.prepare(request), STALL_WAIT)
             async for piece in answer.content.iter_any():
@@ -302,9 +326,11 @@
                     503, "no place at a worker", max(wait, TURNED_AWAY) if wait < math.inf else 5.0
                 )
             begun = self._now()
+            request["sent"] = True
             try:
                 far = await self._shake(be, head, deadline)
             except HandshakeError as exc:
+                request["sent"] = exc.ran
                 self._tried(be, False, begun)
                 without.append(be)
                 if try_again(kind, self._way(kind), len(without), exc.ran) and self._now() < deadline:
@@ -498,6 +524,12 @@
             self.ends = {}
 
     async def close(self) -> None:
+        """Nothing may join the book once it has been gone through, so handshakes end first."""
+        self.stopping = self._given_up = True
+        for task in self.underway:
+            task.cancel()
+        if self.underway:
+            await asyncio.wait(self.underway, timeout=ANSWER_WAIT)
         for be in self.book.workers():
             for tunnel in self.book.at(be):
                 tunnel.abort()
--- a/cottonladder/forwarder/front.py
+++ b/cottonladder/forwarder/front.py
@@ -49,6 +49,7 @@
         self.places = Places(most.connections, most.client)
         self.faults = Faults("client fault")
         self._new: dict[Guarded, None] = {}
+        self._late: list[Guarded] = []  # had sent no head by the last sweep
         self._server = web.Server(self._answer, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -87,10 +88,12 @@
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
-        for handler in [h for h in self._new if now - h.came >= HEADER_WAIT]:
-            del self._new[handler]
-            self.faults.note("no req in time", client=handler.client)
-            handler.force_close()
+        for handler in self._late:  # late at the last sweep already: what had come by then has been read
+            if handler in self._new:
+                del self._new[handler]
+                self.faults.note("no request in time", client=handler.client)
+                handler.force_close()
+        self._late = [h for h in self._new if now - h.came >= HEADER_WAIT]
         self.faults.sum_up(now)
         self._timer = loop.call_later(SWEEP, self._sweep)
 
--- a/cottonladder/forwarder/run.py
+++ b/cottonladder/forwarder/run.py
@@ -34,6 +34,7 @@
     from ..plugins.chain import Wanted
 
 LIST_AGAIN = (0.3, 1.0)  # s, dealt by chance, until a failed call to discovery is made again
+LIST_WAIT_MOST = 8.0  # times that, doubled with each call that fails: a fleet's calls keep discovery down
 HELD_EVERY = 0.25  # s between words on held connections: managers plan each half second
 FORGET_AFTER = 600.0  # s after which a worker that is gone and in no table is known no more
 STOP_MOST = 10.0  # s that connections have at SIGTERM, or the grace if that is less
@@ -103,6 +104,7 @@
         at = host_port(part.discovery)
         self.discovery = Discovery(at, self._zones, self.known.learn, self._listed, 0, self._labelled)
         self._held_at = self._report_at = 0.0
+        self._list_wait = 1.0
         self.recalling: Callable[[], None] | None = None  # an earlier life, until the first list has come
         self._timers: dict[str, asyncio.TimerHandle] = {}
 
@@ -117,8 +119,13 @@
         if not isinstance(item, it.Listing):
             return
         if item.news == it.News.FAILED:
-            self._timers["list"] = self.loop.call_later(self._chance.uniform(*LIST_AGAIN), self._follow)
+            if (due := self._timers.get("list")) is not None:
+                due.cancel()  # a call and the watch may fail together
+            wait = self._chance.uniform(*LIST_AGAIN) * self._list_wait
+            self._timers["list"] = self.loop.call_later(wait, self._follow)
+            self._list_wait = min(LIST_WAIT_MOST, 2.0 * self._list_wait)
             return
+        self._list_wait = 1.0
         now, named = self.loop.time(), {e.be for e in item.entries}
         if item.news == it.News.FULL:
             for be in [be for be in self._modes if be not in named]:
@@ -298,7 +305,9 @@
         self.carrier.stopping = True
         self.carrier.front.stop_listening()
         end = self.loop.time() + min(STOP_MOST, self.drains.grace) * 0.8
-        while self.carrier.book.total():
+        while self.carrier.book.total() or self.carrier.underway:
+            if not self.carrier.book.total() and self.loop.time() > end:
+                return  # what is left of the requests is answered by the carrier's close
             left = max(TICK, end - self.loop.time())
             if not self.carrier.let_go(min(1.0, TICK / left)) and self.loop.time() > end + 2.0:
                 return
--- a/cottonladder/lab/workers.py
+++ b/cottonladder/lab/workers.py
@@ -44,6 +44,7 @@
         self.delay, self.push_every = 0.0, 0.0
         self.refuse = False  # handshakes and reqs get 503
         self.hang = False  # nothing is answered
+        self.until: asyncio.Event | None = None  # nothing is answered before it
         self.drop_next = 0  # so many reqs are read and their connections cut
         self.held, self.most_held, self.resumed = 0, 0, 0
         self.arrivals: list[float] = []
@@ -81,6 +82,8 @@
             raise ConnectionResetError
         if self.hang:
             await asyncio.sleep(3600.0)
+        if self.until is not None:
+            await self.until.wait()
         if self.refuse:
             return web.Response(status=503, headers={"Retry-After": "1"})
         if request.headers.get("Upgrade", "").lower() == "websocket":
--- /dev/null
+++ b/tests/test_forwarder_crossings.py
@@ -0,0 +1,110 @@
+"""Where two events cross in a forwarder, on real sockets: the worker holds its answer until the other event
+has come, and each test fails without its fix."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import unittest
+from typing import Any
+from unittest import mock
+
+import aiohttp
+from aiohttp import web
+
+from cottonladder.forwarder import front
+from cottonladder.forwarder.limits import Most
+from cottonladder.lab.fleet import Forwarder
+from cottonladder.lab.workers import Worker
+from tests.test_forwarder import Rig
+
+
+class Stops(Rig):
+    async def carrying(self) -> tuple[Worker, Forwarder]:
+        worker = await self.worker("s-1")
+        forwarder = await self.forwarder((await self.manager()).port)
+        await self.bound(forwarder, "s-1")
+        worker.until = asyncio.Event()
+        return worker, forwarder
+
+    async def sent(self, worker: Worker, **request: Any) -> asyncio.Task[tuple[int, str, bytes]]:
+        """A request that its worker has read and holds."""
+
+        async def ask() -> tuple[int, str, bytes]:
+            async with self.session.request(**request) as reply:
+                return reply.status, reply.headers.get("Outcome", ""), await reply.read()
+
+        before = sum(worker.reqs.values())
+        asking = asyncio.create_task(ask())
+        await self.until(lambda: sum(worker.reqs.values()) > before)
+        return asking
+
+    async def test_a_stop_waits_for_requests_under_way_and_answers_kept_connections(self) -> None:
+        worker, forwarder = await self.carrying()
+        assert worker.until is not None
+        worker.until.set()
+        kept = aiohttp.ClientSession()
+        self.addAsyncCleanup(kept.close)
+        async with kept.get(forwarder.url) as reply:
+            await reply.read()
+        worker.until.clear()
+        asking = await self.sent(worker, method="POST", url=f"{forwarder.url}/release", data=b"r-1")
+        forwarder.send(signal.SIGTERM)
+        await forwarder.logged("event=draining")
+        async with kept.get(forwarder.url) as reply:
+            self.assertEqual((reply.status, reply.headers["Connection"]), (503, "close"))
+            self.assertIn("Retry-After", reply.headers)
+        status = await forwarder.status(self.session)
+        self.assertIsNotNone(status["manager"])  # whose orders count to the last request's end
+        worker.until.set()
+        self.assertEqual(await asking, (200, "", b"r-1"))
+        self.assertEqual(await forwarder.stop(), 0)
+        self.assertEqual(self.ledger.releases["r-1"], 1)
+
+    async def test_what_the_stop_gives_up_is_answered_at_once(self) -> None:
+        """The second signal ends the drain: nobody knows whether it ran, and nothing sends it again."""
+        worker, forwarder = await self.carrying()
+        asking = await self.sent(worker, method="POST", url=f"{forwarder.url}/release", data=b"r-1")
+        forwarder.send(signal.SIGTERM)
+        await forwarder.logged("event=draining")
+        self.assertEqual(await forwarder.stop(), 0)
+        status, outcome, _ = await asking
+        self.assertEqual((status, outcome, sum(worker.reqs.values())), (502, "unknown", 1))
+
+    async def test_a_handshake_under_way_does_not_outlive_the_stop(self) -> None:
+        worker, forwarder = await self.carrying()
+        upgrade = {"Connection": "Upgrade", "Upgrade": "shout/1"}
+        asking = await self.sent(worker, method="GET", url=forwarder.url, headers=upgrade)
+        forwarder.send(signal.SIGTERM)
+        await forwarder.logged("event=draining")
+        self.assertEqual(await forwarder.stop(), 0)
+        status, outcome, _ = await asking
+        self.assertEqual((status, outcome, worker.held), (502, "unknown", 0))
+
+
+class Heads(unittest.IsolatedAsyncioTestCase):
+    async def test_a_head_that_a_late_loop_left_unread(self) -> None:
+        """Between the sweep that finds a connection late and the one that ends it, the loop reads."""
+
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(text="ok")
+
+        here = front.Front(Most(), answer)
+        port = await here.listen("127.0.0.1", 0)
+        self.addAsyncCleanup(here.close)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        silent, other = await asyncio.open_connection("127.0.0.1", port)
+        while len(here._new) < 2:
+            await asyncio.sleep(0)
+        with mock.patch.object(front, "HEADER_WAIT", -1.0):
+            writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")  # is there, and the loop has not read it yet
+            here._sweep()
+            self.assertIn(b"200 OK", await asyncio.wait_for(reader.readline(), 15.0))
+            here._sweep()
+        self.assertEqual(await asyncio.wait_for(silent.read(), 15.0), b"")
+        writer.close()
+        other.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
