Settings: absurd ones are one line at the start, names and neighbours change no order

Cause: a run of every field of the configuration with 19 odd values, then ten seconds of decisions, ended 19 times in a traceback: figures that are not numbers (limits, Head, EgressPerS, PendingMax), zones that are lists, no class at all, a target of 0, a pace below 0. A platform that sends one of these got a crash, some of them only once a proxy had joined. Change: `wire/terms.py` reads every figure that decisions are worked out from within bounds, and names as lists of different ones; under 64 descriptors nothing starts. A line names the field, status 2. Result: none of the 19 left; a test tries every field with 15 odd values. A recorded input replayed with all zones and classes renamed gives the same orders under the new names, and two deployments played turn about in one process order what each orders alone.

--- a/cottonladder/lifecycle/placement.py
+++ b/cottonladder/lifecycle/placement.py
@@ -9,9 +9,10 @@
 from ..decisions import interface as it
 from ..state.workers import Workers
 from ..wire.discovery import read_list
-from ..wire.terms import NUMBER, HostPort, Site, WireError, address, field, read_site
+from ..wire.terms import HostPort, Site, WireError, address, field, number, read_site
 
 WHERE = "configuration"
+SOCKETS_LEAST = 64  # with fewer nobody could join beside what the program itself holds open
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,10 +52,10 @@
 def _placement(body: Any) -> Placement:
     seed = field(body, "seed", str, WHERE)
     try:
-        number = int(seed, 16)
+        chance = int(seed, 16)
     except ValueError:
         raise WireError(f"{WHERE}: field seed is not a hexadecimal number") from None
-    site = read_site(field(body, "settings", dict, WHERE), number, f"{WHERE}: settings")
+    site = read_site(field(body, "settings", dict, WHERE), chance, f"{WHERE}: settings")
     if site.terms.slices:
         raise WireError(f"{WHERE}: settings: field KeyRanges is not 0, and this protocol has no slices")
     workers = Workers()
@@ -66,8 +67,8 @@
         name=field(body, "name", str, WHERE),
         listen=address(body, "listen", WHERE),
         discovery=address(body, "discovery", WHERE),
-        sockets=int(field(limits, "sockets", NUMBER, f"{WHERE}: limits")),
-        memory_mb=int(field(limits, "memory_mb", NUMBER, f"{WHERE}: limits")),
+        sockets=int(number(limits, "sockets", f"{WHERE}: limits", SOCKETS_LEAST)),
+        memory_mb=int(number(limits, "memory_mb", f"{WHERE}: limits", 1)),
         peer_listen=address(body, "peer_listen", WHERE) if talks else None,
         peers=[address({"peers": peer}, "peers", WHERE) for peer in peers],
         peers_all=address(body, "peers_all", WHERE) if talks else None,
--- a/cottonladder/wire/terms.py
+++ b/cottonladder/wire/terms.py
@@ -14,6 +14,8 @@
 
 NUMBER = (int, float)
 HostPort = tuple[str, int]
+FIGURE_MOST = 1e12  # of any setting: figures that are multiplied stay finite
+LEAST = 1e-3  # of what is divided by
 _MISSING = object()
 
 
@@ -31,9 +33,26 @@
     return value
 
 
+def number(
+    body: Any, name: str, where: str, least: float = 0.0, default: Any = _MISSING, types: Any = NUMBER
+) -> float:
+    """A figure from which decisions are worked out: nothing that isn't finite, too small or past all use."""
+    value = field(body, name, types, where, default)
+    if not least <= value <= FIGURE_MOST:  # false for what is not a number at all
+        raise WireError(f"{where}: field {name} is not a figure from {least:g} to {FIGURE_MOST:g}")
+    return float(value)
+
+
 def seconds(body: Any, name: str, where: str, default: Any = _MISSING) -> float:
-    value = field(body, name, NUMBER, where, default)
-    return float(value) / 1000.0
+    return float(field(body, name, NUMBER, where, default)) / 1000.0
+
+
+def names(body: Any, name: str, where: str) -> list[str]:
+    """A list of names, each another one; one at least."""
+    value = field(body, name, list, where)
+    if not value or not all(isinstance(each, str) and each for each in value) or len(set(value)) < len(value):
+        raise WireError(f"{where}: field {name} is not a list of different names")
+    return list(value)
 
 
 def address(body: Any, name: str, where: str) -> HostPort:
@@ -66,15 +85,15 @@
 
 
 def read_site(info: dict[str, Any], seed: int, where: str) -> Site:
-    zones: list[str] = list(field(info, "Zones", list, where))
+    zones = names(info, "Zones", where)
     profiles = field(info, "Profiles", list, where)
-    names: list[str] = [field(p, "Name", str, where) for p in profiles]
+    kinds = names({"Profiles": [field(p, "Name", str, where) for p in profiles]}, "Profiles", where)
     stats = field(info, "Stats", dict, where, {})
     return Site(
         terms=_terms(info, profiles, len(zones), seed, where),
         zones={name: z for z, name in enumerate(zones)},
-        kinds={name: k for k, name in enumerate(names)},
-        me=field(info, "Me", int, where, 0),
+        kinds={name: k for k, name in enumerate(kinds)},
+        me=int(number(info, "Me", where, 0, 0, int)),
         load_reports=field(stats, "Via", str, where, "none") != "none",
     )
 
@@ -86,34 +105,34 @@
     prices = field(info, "Prices", dict, where)
     kinds = tuple(
         it.ReqKind(
-            response_target=seconds(p, "TargetMs", where),
-            importance=float(field(p, "Gain", NUMBER, where)),
+            response_target=number(p, "TargetMs", where, LEAST) / 1000.0,
+            importance=number(p, "Gain", where),
         )
         for p in profiles
     )
     return it.Terms(
         seed=seed,
-        managers=field(info, "NInstances", int, where),
+        managers=int(number(info, "NInstances", where, 1, types=int)),
         zones=zones,
         kinds=kinds,
-        proxies=field(fam, "Proxies", int, where),
+        proxies=int(number(fam, "Proxies", where, 1, types=int)),
         list_on_request=field(info, "Discovery", str, where) == "subscribe",
-        ask_within=seconds(rules, "AskWithinMs", where, 0.0),
+        ask_within=number(rules, "AskWithinMs", where, default=0.0) / 1000.0,
         probing=field(limits, "Probing", bool, where, False),
         peers=field(limits, "Peers", bool, where, False),
         levels=field(fam, "ThrottleBy", str, where, "none"),
         slices=field(fam, "KeyRanges", int, where, 0),
         single_owner=field(fam, "SingleWriter", bool, where, False),
-        lines_per_s=float(field(fam, "EgressPerS", NUMBER, where)),
-        head_lines=int(field(fam, "Head", NUMBER, where)),
-        waiting_most=float(field(fam, "PendingMax", NUMBER, where)),
-        messages_most=int(field(fam, "ReloadsMax", NUMBER, where, 0)),
-        messages_span=seconds(fam, "ReloadSpanMs", where, 0.0),
-        drain_grace=seconds(rules, "DrainGraceMs", where, 0.0),
-        cold_share=float(field(rules, "ColdFrom", NUMBER, where)),
-        fall_multiple=float(field(rules, "FallMultiple", NUMBER, where)),
-        avoids=field(fam, "Strikes", NUMBER, where, 0) > 0,
-        warm_after=seconds(rules, "WarmAfterMs", where),
-        cross_zone_price=float(field(prices, "CrossZone", NUMBER, where, 0.0)),
-        probe_price=float(field(prices, "Probe", NUMBER, where, 0.0)),
+        lines_per_s=number(fam, "EgressPerS", where, LEAST),
+        head_lines=int(number(fam, "Head", where)),
+        waiting_most=number(fam, "PendingMax", where),
+        messages_most=int(number(fam, "ReloadsMax", where, default=0)),
+        messages_span=number(fam, "ReloadSpanMs", where, default=0.0) / 1000.0,
+        drain_grace=number(rules, "DrainGraceMs", where, default=0.0) / 1000.0,
+        cold_share=number(rules, "ColdFrom", where),
+        fall_multiple=number(rules, "FallMultiple", where),
+        avoids=number(fam, "Strikes", where, default=0) > 0,
+        warm_after=number(rules, "WarmAfterMs", where) / 1000.0,
+        cross_zone_price=number(prices, "CrossZone", where, default=0.0),
+        probe_price=number(prices, "Probe", where, default=0.0),
     )
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,200 @@
+"""What one deployment's settings may not do: bleed into another's, mean something by a name, or be absurd
+without a word.  `tests/recorded/` has an input to replay, in words, with the settings it was played under."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import re
+import unittest
+from collections.abc import Iterator
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any, cast
+
+from cottonladder.decisions import interface as it
+from cottonladder.decisions.rules import Ladder
+from cottonladder.lifecycle.placement import read_placement
+from cottonladder.state.spread import Spread
+from cottonladder.state.workers import Workers
+from cottonladder.wire.discovery import read_list
+from cottonladder.wire.messages import Mouth
+from cottonladder.wire.resp import MESSAGE_MOST, Reader
+from cottonladder.wire.terms import WireError, read_site
+from tests.standins import Program, Rig, soon
+
+RECORDED = (Path(__file__).parent / "recorded" / "morning.txt").read_text()
+BEGAN = 1000.0  # s: the time at which the recording begins
+SITES = Path(__file__).parents[1] / "deploy" / "sites"
+
+
+class Replay:
+    """One manager without its sockets: a recording goes in by the wire's own readers, what proxies would get
+    comes out as words.  Proxies answer their marks; the manager's wakes come when they are due."""
+
+    def __init__(self, text: str, **changes: Any) -> None:
+        head, *lines = [line for line in text.splitlines() if line and not line.startswith("#")]
+        settings = json.loads(head.removeprefix("settings "))
+        for part, values in changes.items():
+            settings[part] = {**settings[part], **values} if isinstance(values, dict) else values
+        self.site = read_site(settings, 7, "settings")
+        self.workers = Workers()
+        self.mouth = Mouth(self.site, self.workers.find)
+        self.ladder = Ladder(self.site.terms)
+        self.spread = Spread(list(self.site.kinds), self.site.terms.managers, self.workers)
+        self.ladder.gate.added = self.spread.added
+        self.lines, self.said = lines, list[str]()
+        self.due: tuple[float, int] = (BEGAN, 0)
+        self.marks: list[it.Input] = []
+
+    def input(self, verb: str, words: str) -> it.Input:
+        if verb == "list":
+            listing = read_list(json.loads(words), self.site, self.workers.learn, "list")[1]
+            first = not self.ladder.listed
+            return it.Listing(it.News.CACHED, listing.entries) if first else listing
+        if verb == "leave":
+            return it.Left(int(words))
+        if verb == "peer":
+            return it.Hint(1, words)
+        _, _, message = words.partition(" ") if verb == "stream" else ("", "", words)
+        return cast(it.Input, self.mouth.read(message.encode().split()))
+
+    def steps(self) -> Iterator[None]:
+        """An input a step, with the wakes that are due before it."""
+        for line in self.lines:
+            at, verb, words = line.split(" ", 2)
+            now = BEGAN + float(at)
+            while self.due[0] <= now:
+                when, token = self.due
+                marks, self.marks = self.marks, []
+                self.feed(when, [it.Wake(token), *marks])
+            self.feed(now, [self.input(verb, words)])
+            yield
+
+    def feed(self, now: float, inputs: list[it.Input]) -> None:
+        self.spread.hear(inputs)
+        orders = self.ladder.decide(now, inputs)
+        for order in orders:
+            if isinstance(order, it.WakeIn):
+                self.due = (now + order.after, order.token)
+            elif isinstance(order, (it.Remark, it.Tell)):
+                self.said.append(f"{now:.2f} {order}")
+            elif not isinstance(order, (it.Follow, it.Probe)):
+                assert self.spread.take(order) == "", order
+        if any(isinstance(order, it.Mark) for order in orders):
+            self.ladder.gate.settle(self.spread.lines())
+        for proxy, data in self.spread.messages():
+            for words in Reader(MESSAGE_MOST).feed(data):
+                said = b" ".join(words).decode()
+                self.said.append(f"{now:.2f} to {proxy}: {said}")
+                if "stamp " in said:
+                    self.marks.append(it.Answered(proxy, int(said.split("stamp ")[1].split()[0]), 0.2))
+
+    def played(self) -> list[str]:
+        for _ in self.steps():
+            pass
+        return self.said
+
+
+def renamed(text: str, names: dict[str, str]) -> str:
+    return re.sub("|".join(rf"\b{name}\b" for name in names), lambda found: names[found[0]], text)
+
+
+class Apart(unittest.TestCase):
+    def test_names_mean_nothing(self) -> None:
+        """All zones and classes under other names, some another's: the same orders under those.  Of tenants
+        no input of a manager tells."""
+        names = {
+            "burnaby": "zone-9", "surrey": "a", "richmond": "richmond-hill",
+            "fetch": "release", "release": "xx", "audit": "fetch",
+        }  # fmt: skip
+        usual, other = Replay(RECORDED).played(), Replay(renamed(RECORDED, names)).played()
+        self.assertEqual([renamed(line, names) for line in usual], other)
+        self.assertGreater(sum("CONFIG for release" in line for line in usual), 5)
+        self.assertGreater(sum("CONFIG replace" in line for line in usual), 8)
+
+    def test_two_deployments_in_one_process(self) -> None:
+        """Turn about, each under its own settings: both order what they order alone."""
+        other: dict[str, Any] = {
+            "Profiles": [
+                {"Name": name, "TargetMs": target, "Gain": gain}
+                for name, target, gain in (("audit", 300.0, 9.0), ("release", 4e3, 0.1), ("fetch", 7e2, 2.0))
+            ],
+            "Zones": ["richmond", "burnaby", "surrey"], "NInstances": 1,
+            "FamilyInfo": {"ThrottleBy": "rps", "EgressPerS": 900.0, "Head": 3.0, "Strikes": 0},
+            "Limits": {"Probing": True, "Peers": False},
+            "Rules": {"FallMultiple": 6.0, "WarmAfterMs": 4000.0},
+        }  # fmt: skip
+        alone = [Replay(RECORDED).played(), Replay(RECORDED, **other).played()]
+        self.assertNotEqual(*alone)
+        both = [Replay(RECORDED), Replay(RECORDED, **other)]
+        for _ in zip(*(replay.steps() for replay in both), strict=True):
+            pass
+        self.assertEqual([replay.said for replay in both], alone)
+
+    def test_the_sites_of_other_customers_are_whole(self) -> None:
+        for folder in sorted(SITES.iterdir()):
+            with self.subTest(folder.name):
+                names = {path.name for path in folder.iterdir()}
+                self.assertEqual(names, {f"{folder.name}.toml", "real.json", "wire.json", "unlock.txt"})
+
+
+def places(body: Any, path: tuple[str | int, ...] = ()) -> Iterator[tuple[str | int, ...]]:
+    pairs = body.items() if isinstance(body, dict) else enumerate(body[:1]) if isinstance(body, list) else ()
+    for name, value in pairs:
+        yield (*path, name)
+        yield from places(value, (*path, name))
+
+
+class Absurd(Rig):
+    ODD: tuple[Any, ...] = (
+        None, "", [], {}, 0, -1, 1e308, -1e308, 10**30, "x", True, float("nan"), float("inf"), [None],
+        ["a", "a"],
+    )  # fmt: skip
+
+    def test_every_field_with_every_odd_value(self) -> None:
+        """Either it is one line that names a field, or a manager that decides for ten seconds."""
+        usual = Program("127.0.0.1:1").config
+        folder = Path(self.enterContext(TemporaryDirectory()))
+        for place in places(usual):
+            for value in self.ODD:
+                body = copy.deepcopy(usual)
+                inner: Any = body
+                for name in place[:-1]:
+                    inner = inner[name]
+                inner[place[-1]] = value
+                (folder / "config.json").write_text(json.dumps(body))
+                with self.subTest(place=place, value=value):
+                    try:
+                        placement = read_placement(str(folder / "config.json"))
+                    except WireError as exc:
+                        self.assertNotIn("\n", str(exc))
+                        self.assertRegex(str(exc), "field|not JSON|object|zone|address|unknown")
+                        continue
+                    ladder = Ladder(placement.site.terms)
+                    ladder.decide(1000.0, [placement.known, it.Joined(0, 0, 10.0, True)])
+                    heard: list[it.Input] = [it.Tally(0, 0, 20, 1, 1.0, 0.1, {})]
+                    heard.append(it.Ingress(0, 0, 20, 0, 1.0))
+                    for n in range(40):
+                        ladder.decide(1000.25 + 0.25 * n, [it.Wake(n + 1), *heard])
+
+    async def test_the_program_says_which_field(self) -> None:
+        for part, name, value in (
+            ("settings", "Zones", []), ("settings", "Profiles", None), ("limits", "sockets", 0),
+            ("FamilyInfo", "EgressPerS", 0), ("FamilyInfo", "Proxies", -3), ("Rules", "ColdFrom", "much"),
+        ):  # fmt: skip
+            with self.subTest(name):
+                program = Program(self.at)
+                config = copy.deepcopy(program.config)
+                inner = config if part in config else config["settings"]
+                inner[part][name] = value
+                await program.start(json.dumps(config))
+                errors = (await soon(cast(asyncio.StreamReader, program.process.stderr).read())).decode()
+                self.assertEqual(await program.ended(), 2)
+                self.assertEqual((errors.count("\n"), program.lines), (1, []), errors)
+                self.assertIn(f"field {name} ", errors)
+
+
+if __name__ == "__main__":
+    unittest.main()
