--- a/cottonladder/lifecycle/cli.py
+++ b/cottonladder/lifecycle/cli.py
@@ -6,7 +6,6 @@
 import socket
 import sys
 from collections.abc import Awaitable
-from importlib import metadata
 from typing import TYPE_CHECKING
 
 import click
@@ -330,5 +329,7 @@
 @main.command()
 def version() -> None:
     """Tell the program's version and those of what it stands on."""
+    from importlib import metadata
+
     libraries = ", ".join(f"{name} {metadata.version(name)}" for name in ("aiohttp", "click", "structlog"))
     click.echo(f"cottonladder {__version__} ({libraries}, Python {sys.version.split()[0]})")
