One summing of faults for clients and connections; figures that are too large say so

wire/address.Faults and wire/faults.Faults did nearly the same; the address uses the shared one now, a sum for each kind of line, with the same lines in the log. The line for a figure past all bounds says again that it is too large, as the test of the start expects.

--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -13,6 +13,7 @@
 
 from ..decisions import interface as it
 from . import messages as m
+from .faults import Faults
 from .resp import MESSAGE_MOST, Reader
 from .terms import WireError
 
@@ -21,7 +22,6 @@
 JOIN_WAIT, SWEEP = 1.0, 0.25  # s: to say who one is, of the 3 that a stranger may be kept; between sweeps
 COLLECTORS_MOST = 4  # of a zone, which has one: a new one may come before the last is seen to end
 OLD_WAIT = 5.0  # s: for the end of a stream whose place was taken; one that went silent never tells
-SUM_UP, WHYS_MOST = 10.0, 64  # s between two lines of one kind of fault; kinds kept apart meanwhile
 STOPS = "the manager stops"
 NEW, COLLECTOR, STREAM, OLD = "new", "collector", "stream", "old"  # OLD: another stream took its place
 
@@ -62,10 +62,14 @@
                 except WireError as exc:
                     if self.state == NEW:
                         raise
-                    self.address.faults.note("message left out", str(exc), self)
+                    self.address.left_out.note(str(exc), **self.shown())
         except WireError as exc:
             self.end(str(exc))
 
+    def shown(self) -> dict[str, object]:
+        """What the log tells of it."""
+        return {"peer": self.peer, "state": self.state, "proxy": self.proxy}
+
     def _hear(self, words: list[bytes]) -> None:
         said = self.address.mouth.read(words)
         step = STEPS.get((self.state, type(said)))
@@ -146,35 +150,14 @@
     queue: int = QUEUE  # connections that the kernel holds until they are accepted
 
 
-class Faults:
-    """Log lines of what strangers and spoilt messages cause: of each kind one at once, then their sum."""
-
-    def __init__(self) -> None:
-        self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
-        self._count: dict[tuple[str, str], int] = {}
-        self._since = 0.0
-
-    def note(self, what: str, why: str, c: Connection) -> None:
-        key = (what, why if (what, why) in self._count or len(self._count) < WHYS_MOST else "others")
-        self._count[key] = self._count.get(key, -1) + 1
-        if self._count[key] == 0:
-            self.log.info(what, peer=c.peer, state=c.state, proxy=c.proxy, why=key[1])
-
-    def sum_up(self, now: float) -> None:
-        if now - self._since >= SUM_UP:
-            for (what, why), more in self._count.items():
-                if more:
-                    self.log.info(what, more=more, why=why)
-            self._since, self._count = now, {}
-
-
 class Address:
     """Listens, and bounds what may stay open.  Who has not joined within `JOIN_WAIT` is closed by one sweep;
     where descriptors run out, strangers make room, the one that came first before others, then streams whose
     place was taken; nobody who joined does.  Harms a proxy that joins later than it dials: it dials again."""
 
     def __init__(self, mouth: m.Mouth, ear: Ear, shares: Shares) -> None:
-        self.mouth, self.ear, self.shares, self.faults = mouth, ear, shares, Faults()
+        self.mouth, self.ear, self.shares = mouth, ear, shares
+        self.left_out, self.cut = Faults("message left out"), Faults("connection ended")
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
         self._open: dict[Connection, None] = {}
         self._new: dict[Connection, float] = {}  # when they came, first first
@@ -207,7 +190,8 @@
         self._late = [c for c, came in self._new.items() if now - came >= JOIN_WAIT]
         for c in [c for c, since in self._old.items() if now - since >= OLD_WAIT]:
             c.end("another stream of this proxy came")
-        self.faults.sum_up(now)
+        self.left_out.sum_up(now)
+        self.cut.sum_up(now)
         self._timer = loop.call_later(SWEEP, self._sweep)
 
     def opened(self, c: Connection) -> None:
@@ -252,9 +236,9 @@
         if self._closed:
             return  # told of all together
         if c.state == NEW:
-            self.faults.note("connection ended", why, c)
+            self.cut.note(why, **c.shown())
         else:
-            self.log.info("connection ended", peer=c.peer, state=c.state, proxy=c.proxy, why=why)
+            self.log.info("connection ended", **c.shown(), why=why)
 
     async def close(self) -> None:
         if self._timer is not None:
--- a/cottonladder/wire/terms.py
+++ b/cottonladder/wire/terms.py
@@ -38,8 +38,10 @@
 ) -> float:
     """A figure from which decisions are worked out: nothing that isn't finite, too small or past all use."""
     value = field(body, name, types, where, default)
-    if not least <= value <= FIGURE_MOST:  # false for what is not a number at all
-        raise WireError(f"{where}: field {name} is not a figure from {least:g} to {FIGURE_MOST:g}")
+    if value > FIGURE_MOST:
+        raise WireError(f"{where}: field {name} is too large, over {FIGURE_MOST:g}")
+    if not value >= least:  # as what is not a number at all
+        raise WireError(f"{where}: field {name} is not a figure of {least:g} or more")
     return float(value)
 
 
