Upgraded connections: a worker's end that comes as it agrees is not lost

Cause: `FarEnd` handed `eof_received` and `connection_lost` to its tunnel and dropped them while it had none. Between the 101 and `Tunnel.start` lie two turns of the loop (`wait_for` passes the answer on), so the end of a worker that agrees and ends at once was always heard of before the tunnel stood; its client then waited for ever, and the connection counted as held. A move to such a worker ended the same way. Change: an end remembers what came before its tunnel, `Tunnel.start` acts on it, and a new worker that has ended is not moved to. Result: a stand-in that writes 101, three bytes and its end at once, or a reset; without the change the client gets no end.

--- a/cottonladder/forwarder/tunnel.py
+++ b/cottonladder/forwarder/tunnel.py
@@ -67,9 +67,10 @@
 class End(asyncio.Protocol):
     """The client's end."""
 
-    __slots__ = ("tunnel", "transport")
+    __slots__ = ("tunnel", "transport", "said_all", "gone")
 
     def __init__(self) -> None:
+        self.said_all, self.gone = False, False  # before it had its tunnel: told once it has
         self.tunnel: Tunnel | None = None
         self.transport: asyncio.Transport | None = None
 
@@ -84,6 +85,8 @@
     def eof_received(self) -> bool:
         if self.tunnel is not None:
             self.tunnel.eof(self)
+        else:
+            self.said_all = True
         return True  # the other direction may go on
 
     def pause_writing(self) -> None:
@@ -97,6 +100,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if self.tunnel is not None:
             self.tunnel.lost(self, exc)
+        else:
+            self.gone = True
 
 
 class FarEnd(End):
@@ -236,6 +241,10 @@
             self.far.transport.resume_reading()
         if rest:
             self.data(self.far, rest)
+        if self.far.gone:  # as it was agreeing: nobody will tell of it again
+            self.lost(self.far, None)
+        elif self.far.said_all:
+            self.eof(self.far)
 
     @property
     def resumable(self) -> bool:
@@ -383,6 +392,10 @@
                 str(task.exception()) if not task.cancelled() and task.exception() else "not taken over"
             )
             return
+        if new.gone or new.said_all:
+            new.cut()
+            self._stay("the new worker ended the connection")
+            return
         ticket = new.reply.header(self.manner.ticket)
         if not ticket or self.busy(self.active + self.manner.quiet):
             new.cut()
--- a/tests/test_forwarder_crossings.py
+++ b/tests/test_forwarder_crossings.py
@@ -5,7 +5,10 @@
 
 import asyncio
 import signal
+import socket
+import struct
 import unittest
+from contextlib import suppress
 from typing import Any
 from unittest import mock
 
@@ -82,6 +85,50 @@
         self.assertEqual((status, outcome, worker.held), (502, "unknown", 0))
 
 
+class Ends(Rig):
+    async def agreeing(self, reset: bool) -> Forwarder:
+        """A worker that agrees, says one thing and ends, all of it at once."""
+
+        async def speak(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: shout/1\r\n")
+            writer.write(b"Connection: Upgrade\r\n\r\nBYE")
+            if reset:
+                await writer.drain()
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.close()
+
+        server = await asyncio.start_server(speak, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        await self.discovery.put("s-1", f"127.0.0.1:{port}", "a")
+        forwarder = await self.forwarder((await self.manager()).port)
+        await self.bound(forwarder, "s-1")
+        return forwarder
+
+    async def test_a_worker_that_ends_as_it_agrees(self) -> None:
+        """Its end was heard of before the connection had its tunnel, and its client waited for ever."""
+        for reset in (False, True):
+            with self.subTest(reset=reset):
+                forwarder = await self.agreeing(reset)
+                reader, writer = await asyncio.open_connection("127.0.0.1", forwarder.port)
+                writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: shout/1\r\n\r\n")
+                said = b""
+                with suppress(ConnectionError):
+                    while more := await asyncio.wait_for(reader.read(4096), 15.0):
+                        said += more
+                writer.close()
+                if not reset:  # what a reset finds unread is thrown away by the system
+                    self.assertTrue(said.startswith(b"HTTP/1.1 101") and said.endswith(b"BYE"), said)
+
+                async def let_go(forwarder: Forwarder = forwarder) -> bool:
+                    return bool((await forwarder.status(self.session))["held"] == {})
+
+                await self.until(let_go)
+
+
 class Heads(unittest.IsolatedAsyncioTestCase):
     async def test_a_head_that_a_late_loop_left_unread(self) -> None:
         """Between the sweep that finds a connection late and the one that ends it, the loop reads."""
