--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -151,7 +151,7 @@
     alone (a channel may be slow; harms when late), rule-bearing orders also by time, which drains slowly."""
 
     def __init__(self, terms: it.Terms) -> None:
-        self.terms, self.number, self.kept = terms, 0, max(1, terms.messages_most)  # messages by proxy
+        self.terms, self.number, self.kept = terms, terms.seed % 65536, max(1, terms.messages_most)
         self.at = self.waiting = self.flying = 0.0  # lines: by time or answers; by answers alone
         self.flight: dict[int, dict[int, int]] = {}  # mark -> lines by proxy that has yet to answer
         self.written: dict[int, list[float]] = {}
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -368,6 +368,18 @@
         follower.move.assert_not_called()
 
 
+class Lives(Rig):
+    async def test_a_mark_of_another_life_answers_none_of_this_one(self) -> None:
+        """A proxy comes over, or its manager starts anew, with an answer on its way.  Marks counted from 0 in
+        every life, so that it stood for lines that were still to be sent."""
+        marks = []
+        for seed in ("8c1f30d27a5be964", "11"):
+            program = await self.serving(seed=seed)
+            proxy = await self.join(program, 3)
+            marks.append(int((await proxy.hear_of("stamp")).split("stamp ")[1].split()[0]))
+        self.assertGreater(abs(marks[0] - marks[1]), 1000)
+
+
 class Streams(Rig):
     """One manager's address in this process: the turns of the loop are the test's own."""
 
