--- a/cottonladder/advice/client.py
+++ b/cottonladder/advice/client.py
@@ -31,7 +31,7 @@
     usable: bool
 
 
-class Ear:
+class AdviceListener:
     """Where words go: the adviser, in the owner's own loop."""
 
     def joined(self, advisor: str) -> None:
@@ -45,9 +45,10 @@
     """Keeps one advisor's connection; a subclass speaks its protocol.  `places` are our workers as listed."""
 
     def __init__(
-        self, at: HostPort, ear: Ear, tls: ssl.SSLContext | None, uniform: Callable[[], float]
+        self, at: HostPort, listener: AdviceListener, tls: ssl.SSLContext | None, uniform: Callable[[], float]
     ) -> None:
-        self.at, self.name, self.ear, self._tls, self._uniform = at, f"{at[0]}:{at[1]}", ear, tls, uniform
+        self.at, self.name, self.listener = at, f"{at[0]}:{at[1]}", listener
+        self._tls, self._uniform = tls, uniform
         self.places: list[Place] = []
         self.find = Finder(())
         self.unmatched = 0  # members of the last words that are none of ours
@@ -86,7 +87,7 @@
             return f"no connection: {exc or 'timed out'}"
         self._writer, self.up = writer, True
         self.log.info("advisor joined", advisor=self.name)
-        self.ear.joined(self.name)
+        self.listener.joined(self.name)
         try:
             self.greet()
             while True:
@@ -133,13 +134,13 @@
     def __init__(
         self,
         at: HostPort,
-        ear: Ear,
+        listener: AdviceListener,
         tls: ssl.SSLContext | None,
         uniform: Callable[[], float],
         uid: str,
         group: str,
     ) -> None:
-        super().__init__(at, ear, tls, uniform)
+        super().__init__(at, listener, tls, uniform)
         self._group = sasp.Group(uid.encode(), group.encode())
         self._reader, self._number = sasp.Reader(), 0
         self._registered: dict[sasp.Member, None] = {}
@@ -204,16 +205,17 @@
                 usable = bool(entry.flags & sasp.CONTACT) and not entry.flags & sasp.QUIESCED
                 out.append(Said(self.find(entry.member), entry.weight, usable))
         self.unmatched = sum(said.be is None for said in out)
-        self.ear.heard(self.name, out, whole=m.kind == sasp.WEIGHTS_REPLY)
+        self.listener.heard(self.name, out, whole=m.kind == sasp.WEIGHTS_REPLY)
 
 
 class DfpFollower(Follower):
     """A manager: states how often it wants to hear, then listens."""
 
     def __init__(
-        self, at: HostPort, ear: Ear, uniform: Callable[[], float], secret: tuple[int, bytes] | None
-    ) -> None:
-        super().__init__(at, ear, None, uniform)
+        self, at: HostPort, listener: AdviceListener, uniform: Callable[[], float],
+        secret: tuple[int, bytes] | None,
+    ) -> None:  # fmt: skip
+        super().__init__(at, listener, None, uniform)
         self._secret = secret
         self._reader = dfp.Reader()
 
@@ -245,7 +247,7 @@
                 self.unmatched += not found
                 for be in found:
                     lowest[be] = min(lowest.get(be, host.weight), host.weight)
-        self.ear.heard(self.name, [Said(be, weight, True) for be, weight in lowest.items()], whole=False)
+        self.listener.heard(self.name, [Said(be, weight, True) for be, weight in lowest.items()], whole=False)
 
 
 def places_of(ids: Mapping[int, bytes], address: Callable[[int], str]) -> list[Place]:
--- a/cottonladder/lifecycle/adviser.py
+++ b/cottonladder/lifecycle/adviser.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from ..advice.client import DfpFollower, Ear, Follower, Said, SaspFollower, places_of
+from ..advice.client import AdviceListener, DfpFollower, Follower, Said, SaspFollower, places_of
 from ..advice.server import Board, DfpServer, SaspServer, Server, tls_context
 from ..decisions import interface as it
 from ..decisions.advice import PERIOD, Advice, Word
@@ -49,7 +49,7 @@
     return part.key, secret
 
 
-class Adviser(Ear):
+class Adviser(AdviceListener):
     """Owns the board, the listeners and the followers."""
 
     def __init__(self, part: AdvicePart, workers: Workers) -> None:
@@ -97,7 +97,7 @@
             return SaspFollower(at, self, tls, chance.random, part.uid, part.group)  # type: ignore[arg-type]
         return DfpFollower(at, self, chance.random, _secret(part.secret, where))
 
-    # the followers' ear: kept until the owner's next step
+    # the followers' listener: kept until the owner's next step
 
     def joined(self, advisor: str) -> None:
         self._joins.append(advisor)
--- a/cottonladder/lifecycle/manager.py
+++ b/cottonladder/lifecycle/manager.py
@@ -17,12 +17,12 @@
 from ..state.spread import Spread
 from ..wire.address import QUEUE, Address, Shares
 from ..wire.discovery import Discovery
-from ..wire.messages import Mouth
+from ..wire.messages import MessageReader
 from ..wire.peers import Peers
 from ..wire.probes import Probes
 from ..wire.terms import WireError
 from . import signals
-from .owner import Beside, Hands, Inbox, Owner
+from .owner import Hands, Inbox, Owner, Planner
 from .placement import Placement, read_placement
 
 if TYPE_CHECKING:
@@ -116,7 +116,7 @@
     return tasks, keeper
 
 
-def link(keeper: Keeper, plans: list[Beside], discovery: Discovery) -> None:
+def link(keeper: Keeper, plans: list[Planner], discovery: Discovery) -> None:
     """What is kept of others' knowledge, and given back to them."""
     keeper.list_version = lambda: discovery.version
     for plan in plans:
@@ -125,13 +125,13 @@
             keeper.credits_now = advice.credits
 
 
-def beside(placement: Placement, operator: Operator | None, mouth: Mouth) -> list[Beside]:
+def planners(placement: Placement, operator: Operator | None, messages: MessageReader) -> list[Planner]:
     """What the operators' file switches on; imported only then, as managers live in little memory."""
-    plans: list[Beside] = []
+    plans: list[Planner] = []
     if operator is not None and operator.upgrades is not None:
         from .mover import Mover
 
-        plans.append(Mover(placement.site, operator.upgrades, placement.workers, mouth))
+        plans.append(Mover(placement.site, operator.upgrades, placement.workers, messages))
     if operator is not None and operator.advice is not None:
         from .adviser import Adviser
 
@@ -168,9 +168,9 @@
         if placement.peer_listen is not None:
             await peers.listen(placement.peer_listen)
         spread = Spread(list(site.kinds), site.terms.managers, workers)
-        mouth = Mouth(site, workers.find)
+        messages = MessageReader(site, workers.find)
         hands = Hands(discovery, probing, peers)
-        plans = beside(placement, operator, mouth)
+        plans = planners(placement, operator, messages)
         for plan in plans:
             await plan.start(stack)
         if keeper is not None:
@@ -184,7 +184,7 @@
         if tasks is not None:
             owner.late = tasks.late
         owner.step([known])  # it can decide from here on, so from here on it answers
-        address = Address(mouth, roster, limits)
+        address = Address(messages, roster, limits)
         stack.push_async_callback(address.close)
         port = await address.listen(*placement.listen)
         log.info("serving", name=placement.name, host=placement.listen[0], port=port)
--- a/cottonladder/lifecycle/mover.py
+++ b/cottonladder/lifecycle/mover.py
@@ -15,7 +15,7 @@
 from ..decisions.views import standing
 from ..state.workers import Workers
 from ..wire import upgrades as wire
-from ..wire.messages import Beyond, Mouth
+from ..wire.messages import Beyond, MessageReader
 from ..wire.terms import Site
 from .operators import UpgradesPart
 
@@ -23,7 +23,7 @@
 class Mover:
     """Owns the plan; a forwarder is in it from its announcement to the end of its stream."""
 
-    def __init__(self, site: Site, part: UpgradesPart, workers: Workers, mouth: Mouth) -> None:
+    def __init__(self, site: Site, part: UpgradesPart, workers: Workers, messages: MessageReader) -> None:
         terms = site.terms
         self._moves = Moves(
             MoveTerms(
@@ -45,7 +45,7 @@
         self._plan_at = 0.0
         self._drains: dict[int, int] = {}  # by leaving worker: connections held when last logged
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
-        mouth.more.update(dict.fromkeys(wire.TO_MANAGER, wire.read_for_manager))
+        messages.more.update(dict.fromkeys(wire.TO_MANAGER, wire.read_for_manager))
 
     async def start(self, stack: AsyncExitStack) -> None:
         """It has nothing to open."""
--- a/cottonladder/lifecycle/owner.py
+++ b/cottonladder/lifecycle/owner.py
@@ -63,7 +63,7 @@
     peers: Peers
 
 
-class Beside(Protocol):
+class Planner(Protocol):
     """Who plans beside the ladder, in the same task: told what comes in, it may add inputs, and once the
     ladder has ordered it may write messages to proxies.  What `start` opens goes onto the stack."""
 
@@ -78,9 +78,9 @@
 
     def __init__(
         self, ladder: Ladder, inbox: Inbox, roster: Roster, spread: Spread, hands: Hands,
-        beside: Iterable[Beside] = (),
+        planners: Iterable[Planner] = (),
     ) -> None:  # fmt: skip
-        self._beside = list(beside)
+        self._planners = list(planners)
         self.late: Callable[[], None] = lambda: None  # background work makes way
         self.remarked: Callable[[str], None] = lambda words: None  # told each change of mode
         self._ladder, self._inbox, self._roster, self._spread = ladder, inbox, roster, spread
@@ -115,7 +115,7 @@
     def step(self, batch: list[it.Input | Beyond]) -> None:
         now = self._clock.now()
         inputs = [item for item in batch if not isinstance(item, Beyond)]
-        for plan in self._beside:
+        for plan in self._planners:
             for item in batch:
                 plan.hear(now, item)
             inputs += plan.inputs(now)
@@ -131,7 +131,7 @@
             self._ladder.gate.settle(self._spread.lines())
         for proxy, data in self._spread.messages():
             self._roster.send(proxy, data)
-        for plan in self._beside:
+        for plan in self._planners:
             for proxy, data in plan.messages(now, self._ladder):
                 self._roster.send(proxy, data)
 
--- a/cottonladder/state/roster.py
+++ b/cottonladder/state/roster.py
@@ -10,7 +10,7 @@
 
 
 class Roster:
-    """The ear of the manager's address; the module sees the old stream left before the new one joined."""
+    """Hears of the address's streams; the module sees the old stream left before the new one joined."""
 
     def __init__(self, post: Callable[[it.Input | Beyond], None]) -> None:
         self.post = post
--- a/cottonladder/wire/address.py
+++ b/cottonladder/wire/address.py
@@ -26,7 +26,7 @@
 NEW, COLLECTOR, STREAM, OLD = "new", "collector", "stream", "old"  # OLD: another stream took its place
 
 
-class Ear(Protocol):
+class StreamListener(Protocol):
     """Who is told of what comes in; never waited for."""
 
     def joined(self, stream: Connection, joined: it.Joined) -> None: ...
@@ -71,7 +71,7 @@
         return {"peer": self.peer, "state": self.state, "proxy": self.proxy}
 
     def _hear(self, words: list[bytes]) -> None:
-        said = self.address.mouth.read(words)
+        said = self.address.messages.read(words)
         step = STEPS.get((self.state, type(said)))
         if step is None:
             raise WireError(f"{m.shown(words[0])}: not on a connection that is {self.state}")
@@ -107,10 +107,10 @@
         joined = cast(it.Joined, said)
         self.state, self.proxy, self.reader.most = STREAM, joined.proxy, MESSAGE_MOST
         self.address.named(self, f"proxy {joined.proxy}")
-        self.address.ear.joined(self, joined)
+        self.address.listener.joined(self, joined)
 
     def _report(self, said: m.Said) -> None:
-        self.address.ear.post(cast(it.Input, said))
+        self.address.listener.post(cast(it.Input, said))
 
     def _own(self, said: m.Said) -> None:
         if cast(it.Answered | it.Ingress, said).proxy != self.proxy:
@@ -118,7 +118,7 @@
         self._report(said)
 
     def _beyond(self, said: m.Said) -> None:
-        self.address.ear.post(m.Beyond(cast(m.Beyond, said).body, self.proxy))
+        self.address.listener.post(m.Beyond(cast(m.Beyond, said).body, self.proxy))
 
     def _nothing(self, said: m.Said) -> None:
         pass
@@ -155,8 +155,8 @@
     where descriptors run out, strangers make room, the one that came first before others, then streams whose
     place was taken; nobody who joined does.  Harms a proxy that joins later than it dials: it dials again."""
 
-    def __init__(self, mouth: m.Mouth, ear: Ear, shares: Shares) -> None:
-        self.mouth, self.ear, self.shares = mouth, ear, shares
+    def __init__(self, messages: m.MessageReader, listener: StreamListener, shares: Shares) -> None:
+        self.messages, self.listener, self.shares = messages, listener, shares
         self.left_out, self.cut = Faults("message left out"), Faults("connection ended")
         self.log: structlog.stdlib.BoundLogger = structlog.get_logger()
         self._open: dict[Connection, None] = {}
@@ -232,7 +232,7 @@
         if c in (others := self._collectors.get(c.zone, [])):
             others.remove(c)
         if c.state == STREAM:
-            self.ear.left(c)
+            self.listener.left(c)
         if self._closed:
             return  # told of all together
         if c.state == NEW:
--- a/cottonladder/wire/messages.py
+++ b/cottonladder/wire/messages.py
@@ -108,7 +108,7 @@
     return value
 
 
-class Mouth:
+class MessageReader:
     """Reads messages for one site; `find` gives the small index of a listed worker, or none."""
 
     def __init__(self, site: Site, find: Callable[[bytes], int | None]) -> None:
@@ -158,13 +158,13 @@
         return it.Ingress(self._node(f), kind, reqs, errors, f.span(reqs))
 
 
-KINDS: dict[bytes, Callable[[Mouth, Fields], Said]] = {
-    b"PING": lambda mouth, f: Ping(),
-    b"SOURCE": Mouth._source,
-    b"LOAD": Mouth._load,
-    b"SUBSCRIBE": Mouth._subscribe,
-    b"ACK": Mouth._ack,
-    b"RATE": Mouth._rate,
+KINDS: dict[bytes, Callable[[MessageReader, Fields], Said]] = {
+    b"PING": lambda messages, f: Ping(),
+    b"SOURCE": MessageReader._source,
+    b"LOAD": MessageReader._load,
+    b"SUBSCRIBE": MessageReader._subscribe,
+    b"ACK": MessageReader._ack,
+    b"RATE": MessageReader._rate,
 }
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,7 +26,7 @@
 from cottonladder.state.roster import Roster
 from cottonladder.state.workers import Workers
 from cottonladder.wire import address, discovery
-from cottonladder.wire.messages import Mouth
+from cottonladder.wire.messages import MessageReader
 from cottonladder.wire.probes import Probes
 from cottonladder.wire.resp import encode
 from cottonladder.wire.terms import read_site
@@ -387,7 +387,7 @@
         self.heard: asyncio.Queue[it.Input | Any] = asyncio.Queue()
         self.roster = Roster(self.heard.put_nowait)
         shares = address.Shares(most, 8, 4, 1 << 20)
-        self.where = address.Address(Mouth(SITE, lambda key: None), self.roster, shares)
+        self.where = address.Address(MessageReader(SITE, lambda key: None), self.roster, shares)
         self.program = Program("")
         self.program.port = await self.where.listen("127.0.0.1", 0)
         self.addAsyncCleanup(self.where.close)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -19,7 +19,7 @@
 from cottonladder.state.spread import Spread
 from cottonladder.state.workers import Workers
 from cottonladder.wire.discovery import read_list
-from cottonladder.wire.messages import Mouth
+from cottonladder.wire.messages import MessageReader
 from cottonladder.wire.resp import MESSAGE_MOST, Reader
 from cottonladder.wire.terms import WireError, read_site
 from tests.standins import Program, Rig, soon
@@ -40,7 +40,7 @@
             settings[part] = {**settings[part], **values} if isinstance(values, dict) else values
         self.site = read_site(settings, 7, "settings")
         self.workers = Workers()
-        self.mouth = Mouth(self.site, self.workers.find)
+        self.messages = MessageReader(self.site, self.workers.find)
         self.ladder = Ladder(self.site.terms)
         self.spread = Spread(list(self.site.kinds), self.site.terms.managers, self.workers)
         self.ladder.gate.added = self.spread.added
@@ -58,7 +58,7 @@
         if verb == "peer":
             return it.Hint(1, words)
         _, _, message = words.partition(" ") if verb == "stream" else ("", "", words)
-        return cast(it.Input, self.mouth.read(message.encode().split()))
+        return cast(it.Input, self.messages.read(message.encode().split()))
 
     def steps(self) -> Iterator[None]:
         """An input a step, with the wakes that are due before it."""
