Cold workers behind tables of few lines wait: struck-out warm lines brought them all there is

At fault: `_estimates` reckoned strikes as if a table held a zone's 50 workers (0.13 reqs/s a line, under AVOID_RATE), where it holds 6 (1.0). Change: where tables are dealt in few lines, half of a middle table's lines stand for the zone's; at 0.8 reqs/s a line or more cold ones wait until they can bear it, as they do for other proxies that avoid. At the full fleet's 0.2 reqs/s a line it does not act.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -31,7 +31,7 @@
 SILENT_SHARE, CALM_SHARE, BAD_LEAST = 0.85, 0.2, 4.0  # errored part, the others' at most; least tries
 MOVE, NEW_SHARE, OUT_MOST, OUT_WAIT = 0.1, 0.25, 0.34, 5.0  # part that moves; a start's; shut out at most, s
 PROBE_EVERY, PROBE_POINTS, PROBES_LOST = 1.0, 0.003, 2  # s at least; what it may cost; lost ones in a row
-COLD_CALM, COLD_YOUNG, BLIND_BEATS, AVOID_RATE = 12.0, 0.75, 16, 0.4  # 1/errors, part; no sums yet; reqs/s
+COLD_CALM, COLD_YOUNG, BLIND_BEATS, AVOID_RATE, FEW_PART = 12.0, 0.75, 16, 0.4, 0.5  # 1/errors; reqs/s
 STRAIN_ERRED, STRAIN_TIME, STRAIN_LOAD = 0.1, 0.35, 0.92  # errors, time over target, load: that mean overload
 LEVEL_STEP, LEVEL_MOST, LEVEL_CALM = 0.5, 0.35, 0.8  # of how far off, down at most; under this it rises
 LEVEL_FLOOR, LEVEL_LEAST, GONE_FOR = 0.4, 0.1, 20.0  # least let in, of all and of a kind; s till forgotten
@@ -474,8 +474,9 @@
             full[i] = be.weight * unit * min(SPEED_SPAN, max(1 / SPEED_SPAN, speed))
         self.whole = sum(full.values())  # before any trouble: what cold servers' parts are measured by
         # Avoiding proxies turn to cold servers at any weight, before sums tell; harms deploys in overload.
-        # The strikes that takes come too slowly where a proxy brings a server a req each few seconds.
-        rates, per_line = [p.rate for p in self.proxies.values()], len(self.zones) / max(1, len(live))
+        # The strikes that takes come too slowly where a proxy brings a server a req each few seconds; of few
+        rates, few = [p.rate for p in self.proxies.values()], middle(len(t.want) for t in self.tables)
+        per_line = max(len(self.zones) / max(1, len(live)), FEW_PART / (few or math.inf))  # all are struck
         self.striking = self.terms.avoids and sum(r * r for r in rates) * per_line > AVOID_RATE * sum(rates)
         for i, be in live.items():
             most = self.whole / len(full) * self._ease(be) if be.state == RAMP else math.inf
