Tests: a move under each fault of the list, a dial that never comes up

Nine faults of the former watch (silent, empty, older, doubled, spoilt, half, too long, no answer, a field missing), each with a move to a new address: the drain stays told and the new list is followed.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -204,6 +204,74 @@
                 self.assertEqual(self.follower.version, 41)
                 server.close()
 
+    async def test_a_dial_that_never_comes_up(self) -> None:
+        """Nobody accepts and the system's queue is full: the call is over in its time, one line tells of it."""
+        full = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(full.close)
+        for _ in range(8):
+            waiting = socket.socket()
+            self.addCleanup(waiting.close)
+            waiting.setblocking(False)
+            waiting.connect_ex(full.getsockname())
+        with mock.patch.object(discovery, "SILENCE", 0.2):
+            follower = discovery.Discovery(
+                full.getsockname(), SITE, self.workers.learn, self.heard.put_nowait, 41  # type: ignore
+            )  # fmt: skip
+        self.addAsyncCleanup(follower.close)
+        follower.follow(True)
+        await self.news((it.News.FAILED, None))
+        follower.follow(True)
+        await self.news((it.News.FAILED, None))
+        self.assertEqual(list(follower._faults._count.values()), [1])  # beside the one that was told at once
+
+    async def test_a_move_under_each_fault_of_the_list(self) -> None:
+        """What was told of a drain stays told, nobody is gone for a call that failed, and the new address is
+        followed from its whole list on."""
+        drain = json.dumps(listing(42, DRAINING)).encode()
+        faults: dict[str, tuple[bytes, ...]] = {
+            "silent in mid-line": (drain[:20],), "empty lines, then nothing": (b"\n", b"\n"),
+            "older": (json.dumps(listing(40, READY, full=True)).encode() + b"\n",),
+            "doubled": (drain + b"\n", drain + b"\n"), "spoilt": (b'{"version": 43, "full": nonsense}\n',),
+            "a worker without a zone": (json.dumps(listing(43, {"id": "s-1"})).encode() + b"\n",),
+            "half": (drain[:50] + b"\n",), "too long": (b"x" * 1000,), "no answer": (),
+        }  # fmt: skip
+        for fault, lines in faults.items():
+            with (
+                self.subTest(fault), mock.patch.object(discovery, "LIST_MOST", 900),
+                mock.patch.object(discovery, "SILENCE", 0.2),
+            ):  # fmt: skip
+                (there, at), (new, elsewhere) = await self.discovery(), await self.discovery()
+                heard: asyncio.Queue[it.Listing] = asyncio.Queue()
+                follower = discovery.Discovery(
+                    at, SITE, Workers().learn, lambda item, to=heard: to.put_nowait(item), 41  # type: ignore
+                )  # fmt: skip
+                self.addAsyncCleanup(follower.close)
+
+                async def watch(
+                    request: web.BaseRequest, lines: tuple[bytes, ...] = lines
+                ) -> web.StreamResponse:
+                    if not lines:
+                        return web.Response(status=503)
+                    reply = web.StreamResponse()
+                    await reply.prepare(request)
+                    for line in (drain + b"\n", *lines):
+                        await reply.write(line)
+                    await asyncio.Event().wait()
+                    return reply
+
+                there.script = [watch]
+                new.script = [answer(listing(43, DRAINING, entry("s-2"), full=True))]
+                follower.follow(True)
+                first = await soon(heard.get())
+                self.assertEqual(first.news, it.News.DELTA if lines else it.News.FAILED)
+                follower.move(elsewhere)
+                seen = [first]
+                while seen[-1].news != it.News.FULL:
+                    seen.append(await soon(heard.get()))
+                told = [e.mode for item in seen for e in item.entries if e.be == 0]
+                self.assertEqual(set(told), {it.Mode.DRAINING})
+                self.assertEqual(follower.version, 43)
+
     async def test_nothing_is_asked_once_it_is_closed(self) -> None:
         """A SIGHUP that meets the stop, or a retry that was due."""
         await self.following()
