--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -205,7 +205,7 @@
                 server.close()
 
     async def test_a_dial_that_never_comes_up(self) -> None:
-        """Nobody accepts and the system's queue is full: the call is over in its time, one line tells of it."""
+        """Nobody accepts and the queue is full: the call is over in its time, and one line tells of it."""
         full = socket.create_server(("127.0.0.1", 0), backlog=0)
         self.addCleanup(full.close)
         for _ in range(8):
