--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -37,7 +37,7 @@
     cottonladder.lab.__path__.append(str(lab))
     if not hasattr(Gate, "settle"):
         Gate.settle = lambda self, written: None  # type: ignore[method-assign]
-        Spread.added = lambda self, proxy, bes, whole: 0  # type: ignore[method-assign]
+        Spread.added = lambda self, proxy, workers, whole: 0  # type: ignore[method-assign]
     if "drain_grace" not in it.Terms.__dataclass_fields__:
         terms = it.Terms
         it.Terms = lambda drain_grace, **more: terms(**more)  # type: ignore
--- a/cottonladder/state/spread.py
+++ b/cottonladder/state/spread.py
@@ -96,8 +96,8 @@
             if key not in encoded:
                 encoded[key] = self._encode(key)
             yield proxy, encoded[key]
-        for be in self._gone:
-            self._workers.forget(be)
+        for worker in self._gone:
+            self._workers.forget(worker)
         self._gone = []
 
     def lines(self) -> dict[int, int]:
@@ -123,38 +123,39 @@
                 masks[level] = masks.get(level, 0) | 1 << k
         return [("gate", mask, 0, *level) for level, mask in masks.items()]
 
-    def added(self, proxy: int, bes: Iterable[int], whole: bool) -> int:
+    def added(self, proxy: int, workers: Iterable[int], whole: bool) -> int:
         """Lines that come on top of those of these workers, none of them shut out, at this proxy; `whole`: of
         a table that it is bound to."""
         if (told := self._told.get(proxy)) is None:
             return 0
-        bes = set(bes)
+        workers = set(workers)
         if whole:
-            bes -= self._put_off(told, bes)
-        return sum(self._shut(told, be) is not False for be in bes)
+            workers -= self._put_off(told, workers)
+        return sum(self._shut(told, worker) is not False for worker in workers)
 
-    def _put_off(self, told: Told, bes: set[int]) -> set[int]:
+    def _put_off(self, told: Told, workers: set[int]) -> set[int]:
         """Workers of a table to bind to that need not be let in at once: only another manager may have shut
         them out, under the same ids before they started, and enough others are left to pick from.  A line of
         theirs that changes lets them in.  A bind costs half as much; harms where such a worker was shut out:
         its part goes to the table's others until then."""
-        put_off = {be for be in bes if be not in told.out and not self._workers.doubtful(be)}
-        put_off = {be for be in put_off if self._shut(told, be) is None}
-        sure = sum(self._shut(told, be) is False for be in bes)
-        return put_off if sure >= max(1.0, SURE_LEAST * len(bes)) else set()
+        doubtful = self._workers.doubtful
+        put_off = {worker for worker in workers if worker not in told.out and not doubtful(worker)}
+        put_off = {worker for worker in put_off if self._shut(told, worker) is None}
+        sure = sum(self._shut(told, worker) is False for worker in workers)
+        return put_off if sure >= max(1.0, SURE_LEAST * len(workers)) else set()
 
-    def _shut(self, told: Told, be: int) -> bool | None:
+    def _shut(self, told: Told, worker: int) -> bool | None:
         """Whether a proxy shuts this worker out; None: in doubt."""
-        doubtful = self._workers.doubtful(be) or (not told.sure and self._workers.restarted(be))
-        return told.out.get(be, None if doubtful else False)
+        doubtful = self._workers.doubtful(worker) or (not told.sure and self._workers.restarted(worker))
+        return told.out.get(worker, None if doubtful else False)
 
-    def _let_in(self, proxy: int, be: int) -> list[Op]:
+    def _let_in(self, proxy: int, worker: int) -> list[Op]:
         """A line's worker as this manager has it: shut out, or let in where someone may have shut it out."""
-        told, out = self._told[proxy], be in self._out
-        if self._shut(told, be) == out:
+        told, out = self._told[proxy], worker in self._out
+        if self._shut(told, worker) == out:
             return []
-        told.out[be] = out
-        return [("drop" if out else "undrop", 0, be, 0.0, 0)]
+        told.out[worker] = out
+        return [("drop" if out else "undrop", 0, worker, 0.0, 0)]
 
     def _set_line(self, o: it.SetLine) -> None:
         table = self._tables.setdefault(o.table, Table())
@@ -184,15 +185,15 @@
                 users.pop(o.proxy, None)
         self._users.setdefault(o.table, {})[o.proxy] = None
         ops: list[Op] = [("replace", kinds, 0, 0.0, 0)]
-        ops += [("row", kinds, be, weight, 0) for be, weight in table.lines.items()]
+        ops += [("row", kinds, worker, weight, 0) for worker, weight in table.lines.items()]
         for k in range(len(bound)):
             if kinds >> k & 1:
                 ops += self._gates(o.proxy, [k])
         told, out = self._told[o.proxy], self._out.keys() & table.lines.keys()
         told.out.update(dict.fromkeys(out))  # told again with each bind, as its cost has it
         put_off = self._put_off(told, table.lines.keys() - out)
-        for be in table.lines:
-            ops += self._let_in(o.proxy, be) if be not in put_off else []
+        for worker in table.lines:
+            ops += self._let_in(o.proxy, worker) if worker not in put_off else []
         self._draft(o.proxy, *ops)
 
     def _cordon(self, o: it.Cordon) -> None:
@@ -234,18 +235,18 @@
         masks = [0]  # of the last part: kinds its table fields stand for, 0 while it has none
         for what, mask, number, figure, further in ops:
             part = parts[-1]
-            be = self._workers.ids[number] if what in ("row", "drop", "undrop") else b""
-            size += len(be) + 32
+            worker = self._workers.ids[number] if what in ("row", "drop", "undrop") else b""
+            size += len(worker) + 32
             other = bool(mask) and masks[-1] not in (0, mask)
-            if other or size > PART_MOST or CLASH[what](part, be):
-                part, size = Part(), len(be) + 32
+            if other or size > PART_MOST or CLASH[what](part, worker):
+                part, size = Part(), len(worker) + 32
                 parts.append(part)
                 masks.append(0)
             if mask:
                 masks[-1] = mask
                 part.kinds = self._names(mask)
             if what == "row":
-                part.rows[be] = figure
+                part.rows[worker] = figure
             elif what == "replace":
                 part.replace = True
             elif what == "gate":
@@ -253,7 +254,7 @@
             elif what == "stamp":
                 part.stamp = number
             else:
-                (part.drop if what == "drop" else part.undrop).append(be)
+                (part.drop if what == "drop" else part.undrop).append(worker)
         pieces = [parts[n : n + PARTS_MOST] for n in range(0, len(parts), PARTS_MOST)]
         return b"".join(encode_parts(piece) for piece in pieces)
 
@@ -264,12 +265,12 @@
 
 
 CLASH: dict[str, Callable[[Part, bytes], bool]] = {  # what can't join a part after what it already says
-    "row": lambda part, be: be in part.rows or part.gate is not None,
-    "replace": lambda part, be: part.replace or bool(part.rows) or part.gate is not None,
-    "gate": lambda part, be: part.gate is not None,
-    "drop": lambda part, be: be in part.drop or be in part.undrop,
-    "undrop": lambda part, be: be in part.drop or be in part.undrop,
-    "stamp": lambda part, be: part.stamp is not None,
+    "row": lambda part, worker: worker in part.rows or part.gate is not None,
+    "replace": lambda part, worker: part.replace or bool(part.rows) or part.gate is not None,
+    "gate": lambda part, worker: part.gate is not None,
+    "drop": lambda part, worker: worker in part.drop or worker in part.undrop,
+    "undrop": lambda part, worker: worker in part.drop or worker in part.undrop,
+    "stamp": lambda part, worker: part.stamp is not None,
 }
 TAKE: dict[type, Callable[..., None]] = {
     it.SetLine: Spread._set_line,
--- a/cottonladder/state/workers.py
+++ b/cottonladder/state/workers.py
@@ -52,26 +52,26 @@
         worker.restarted |= started > 0
         return index
 
-    def forget(self, be: int) -> None:
-        key = self.ids.pop(be)
-        del self._index[key], self._workers[be]
+    def forget(self, index: int) -> None:
+        key = self.ids.pop(index)
+        del self._index[key], self._workers[index]
         byte, bit = _place(key)
         self._forgotten[byte] |= bit
 
     def find(self, key: bytes) -> int | None:
         return self._index.get(key)
 
-    def known(self, be: int) -> bool:
-        return be in self.ids
+    def known(self, index: int) -> bool:
+        return index in self.ids
 
-    def restarted(self, be: int) -> bool:
+    def restarted(self, index: int) -> bool:
         """Since it is known, as far as the list told: a start of long ago is listed as none."""
-        return self._workers[be].restarted
+        return self._workers[index].restarted
 
-    def doubtful(self, be: int) -> bool:
-        return self._workers[be].doubtful
+    def doubtful(self, index: int) -> bool:
+        return self._workers[index].doubtful
 
-    def address(self, be: int) -> str:
+    def address(self, index: int) -> str:
         """Empty for one that was forgotten meanwhile."""
-        worker = self._workers.get(be)
+        worker = self._workers.get(index)
         return "" if worker is None else worker.address
--- a/cottonladder/wire/discovery.py
+++ b/cottonladder/wire/discovery.py
@@ -35,21 +35,22 @@
     full = field(body, "full", bool, where)
     rows: list[tuple[str, str, int, it.Mode, float, float]] = []
     for entry in field(body, "servers", list, where):
-        be = field(entry, "id", str, where)
+        worker_id = field(entry, "id", str, where)
         state = field(entry, "state", str, where)
         if state not in MODES:
             raise WireError(f"{where}: field state has an unknown value")
-        if not 0 < len(be) <= ID_MOST or not be.isascii() or not be.isprintable() or set(be) & set(", :"):
+        plain = worker_id.isascii() and worker_id.isprintable() and not set(worker_id) & set(", :")
+        if not (plain and 0 < len(worker_id) <= ID_MOST):
             raise WireError(f"{where}: field id can't stand in an order")
         weight, started = float(field(entry, "weight", NUMBER, where)), seconds(entry, "started_ms", where)
         if not (0 <= weight < float("inf") and 0 <= started < float("inf")):
             raise WireError(f"{where}: field weight or started_ms is not a finite figure of 0 or more")
         zone = site.zone(field(entry, "zone", str, where), f"{where}: field zone")
         host, port = address(entry, "addr", where)
-        rows.append((be, f"{host}:{port}", zone, MODES[state], weight, started))
+        rows.append((worker_id, f"{host}:{port}", zone, MODES[state], weight, started))
     entries = tuple(
-        it.Entry(learn(be, addr, started), zone, mode, weight, started)
-        for be, addr, zone, mode, weight, started in rows
+        it.Entry(learn(worker_id, addr, started), zone, mode, weight, started)
+        for worker_id, addr, zone, mode, weight, started in rows
     )
     return version, it.Listing(it.News.FULL if full else it.News.DELTA, entries)
 
--- a/cottonladder/wire/messages.py
+++ b/cottonladder/wire/messages.py
@@ -138,13 +138,13 @@
         return Source(self._zone(f))
 
     def _load(self, f: Fields) -> Said:
-        zone, be = self._zone(f), self.find(f.word("endpoint"))
+        zone, worker = self._zone(f), self.find(f.word("endpoint"))
         total, errors = f.count("total"), f.count("errors")
         if errors > total:
             raise WireError(f"{f.kind}: field errors is more than total")
         span, report = f.span(total), f.metrics("metrics")
         took = f.figure("rtt") / 1000.0 if total > errors or b"rtt" in f.values else 0.0
-        return Unlisted() if be is None else it.Tally(be, zone, total, errors, span, took, report)
+        return Unlisted() if worker is None else it.Tally(worker, zone, total, errors, span, took, report)
 
     def _subscribe(self, f: Fields) -> Said:
         return it.Joined(self._node(f), self._zone(f), f.figure("w"), f.flag("cold"))
@@ -187,7 +187,7 @@
         if self.replace:
             words += [b"replace", b"1"]
         if self.rows:
-            words += [b"rows", b",".join(b"%b:%b" % (be, _plain(w)) for be, w in self.rows.items())]
+            words += [b"rows", b",".join(b"%b:%b" % (worker, _plain(w)) for worker, w in self.rows.items())]
         if self.gate is not None:
             words += [b"gate", _plain(self.gate[0]), b"again", b"%d" % self.gate[1]]
         if self.drop:
--- a/cottonladder/wire/probes.py
+++ b/cottonladder/wire/probes.py
@@ -42,12 +42,12 @@
             connector=aiohttp.TCPConnector(force_close=True, limit=most),
         )
 
-    def send(self, be: int) -> None:
-        if be not in self._tasks:
-            task = self._tasks[be] = asyncio.create_task(self._probe(be, self._address_of(be)))
-            task.add_done_callback(lambda done: self._tasks.pop(be, None))
+    def send(self, worker: int) -> None:
+        if worker not in self._tasks:
+            task = self._tasks[worker] = asyncio.create_task(self._probe(worker, self._address_of(worker)))
+            task.add_done_callback(lambda done: self._tasks.pop(worker, None))
 
-    async def _probe(self, be: int, address: str) -> None:
+    async def _probe(self, worker: int, address: str) -> None:
         async with self._turn:
             sent, done, report = time.monotonic(), False, dict[str, float]()
             try:
@@ -57,8 +57,8 @@
                     report = read_report(body.decode()) if done else {}
             except (aiohttp.ClientError, TimeoutError, OSError, UnicodeDecodeError, WireError):
                 pass  # no answer or none in time: not done; a report that can't be read is left out
-            if self._address_of(be) == address:  # else it has moved meanwhile: this is not its answer
-                self._post(it.Probed(be, done, time.monotonic() - sent, report))
+            if self._address_of(worker) == address:  # else it has moved meanwhile: this is not its answer
+                self._post(it.Probed(worker, done, time.monotonic() - sent, report))
 
     async def close(self) -> None:
         tasks = list(self._tasks.values())
