List watches: a line's five seconds begin with that line, not with an earlier one

Cause, found on rereading: `_lines` timed an unfinished line from when the rest was last empty. On a busy watch whose pieces each end one line and begin the next, it never is, so that after 5 s the watch would have been failed for a line that does not end. Change: the time begins anew with each line that has come whole.

--- a/cottonladder/wire/discovery.py
+++ b/cottonladder/wire/discovery.py
@@ -258,6 +258,7 @@
         while end and (at := rest.find(end)) >= 0:
             yield bytes(rest[:at])
             del rest[: at + len(end)]
+            begun = loop.time()  # what is left is of another line
         if len(rest) > most:
             raise WireError("list: too long")
     if end and rest:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -174,6 +174,26 @@
             self.follower.follow(True)
             await self.news((it.News.FAILED, None))
 
+    async def test_lines_whose_ends_never_fall_together_with_a_piece_s(self) -> None:
+        """Each piece ends one line and begins the next: none of them is late, however long that goes on."""
+        lines = [json.dumps(listing(42 + n, READY)).encode() + b"\n" for n in range(30)]
+        whole = b"".join(lines)
+
+        async def in_pieces(request: web.BaseRequest) -> web.StreamResponse:
+            reply = web.StreamResponse()
+            await reply.prepare(request)
+            for at in range(0, len(whole), len(lines[0])):
+                await reply.write(whole[max(0, at - 20) : at + len(lines[0]) - 20])
+                await asyncio.sleep(0.01)
+            await reply.write(whole[-20:])
+            await asyncio.Event().wait()
+            return reply
+
+        self.there.script = [in_pieces]
+        with mock.patch.object(discovery, "CALL_WAIT", 0.1):
+            self.follower.follow(True)
+            await self.news(*[(it.News.DELTA, it.Mode.READY)] * 30)
+
     async def test_answers_that_are_none(self) -> None:
         """Each is a failed call; the list that was believed stands."""
         head = b"HTTP/1.1 200 OK\r\n"
