Probes that tell of a queue guard cold workers as those that tell what is in flight

Cause in the text: `_probed` reads `inflight` alone, hobart-intake's settings report `queue` and `latency_ms`, so what a cold worker holds stayed unknown there (-1) and the cut of a cold one that is slow as well never acted. Ruled out: its strikes (5) and short tables change nothing, as the full fleet's lines are under the limit. Scenario cold_queue.txt fails without the change.

--- a/cottonladder/decisions/rules.py
+++ b/cottonladder/decisions/rules.py
@@ -345,8 +345,8 @@
     def _probed(self, p: it.Probed) -> None:
         if (be := self.bes.get(p.be)) is None:
             return
-        be.lost = 0 if p.done else be.lost + 1
-        be.seen = min(p.report.get("inflight", be.seen), NEVER_OVER * (1.0 + self.usual))
+        be.lost, told = 0 if p.done else be.lost + 1, p.report.get("queue", be.seen)  # one of them, as is set
+        be.seen = min(p.report.get("inflight", told), NEVER_OVER * (1.0 + self.usual))
         be.held = be.seen if be.held < 0 else (be.held + be.seen) / 2
         if p.done and be.state == OUT and self.now >= be.due:
             self._step(p.be, "due", f"probe answered in {p.took * 1000:.0f} ms")
