--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -110,11 +110,19 @@
         if self._server is not None:
             self._server.close()
 
-    async def put(self, worker_id: str, address: str, zone: str, state: str, started_ms: int = 0) -> None:
+    async def put(
+        self,
+        worker_id: str,
+        address: str,
+        zone: str,
+        state: str,
+        started_ms: int = 0,
+        weight: float = 1.0,
+    ) -> None:
         """Adds or changes an entry; the state `Gone` removes it from the list."""
         entry = {
             "id": worker_id, "addr": address, "zone": zone, "kind": "m", "cell": 0, "state": state,
-            "weight": 1.0, "started_ms": started_ms,
+            "weight": weight, "started_ms": started_ms,
         }  # fmt: skip
         async with self._changed:
             self.version += 1
@@ -257,6 +265,7 @@
         self.tables = {name: Table() for name in classes}
         self.excluded: set[str] = set()
         self.has_table = False
+        self.usual_rate = 20.0  # requests a second
         self.joined_at: float | None = None
         self.messages: list[float] = []  # when each message of the manager had arrived whole
         self.on_config: Callable[[dict[str, str]], None] | None = None
@@ -293,7 +302,7 @@
         self._writer = writer
         self.joined_at = time.monotonic()
         cold = "0" if self.has_table else "1"
-        fields = ["node", str(self.node), "locality", self.zone, "w", "20.0", "cold", cold]
+        fields = ["node", str(self.node), "locality", self.zone, "w", f"{self.usual_rate:.2f}", "cold", cold]
         writer.write(encode("SUBSCRIBE", *fields))
         parts: list[dict[str, str]] = []
         try:
