Log when discovery has answered a watch on the endpoint list

Seen: a manager that never calls discovery logs the same lines as one whose watch is quiet, so the log could not tell a list that nobody asks for from one that does not change.

--- a/cottonladder/protocol/discovery.py
+++ b/cottonladder/protocol/discovery.py
@@ -175,6 +175,8 @@
         raise EndpointListError("watch", "discovery ended the answer, which has to stay open")
 
     def _mark_answered(self, watch: EndpointWatch) -> None:
+        if not watch.is_answered:
+            self.log.info("endpoint_watch_answered", url=watch.source.url, version=watch.source.version)
         watch.is_answered = True
         if watch is self._watch:
             self._drop_former_watch()
