Watch the endpoint list on sockets whatever the value of Discovery

In a rolling deploy 1,247 of 5,286 requests were not served and 2,450 attempts went to workers that had ended, over 7.8 s after they were listed as draining.

Cause: config/deployment.py maps automatic to watches_endpoints=False, as changes then arrive unprompted. That holds in the simulator; over HTTP discovery writes only on calls that the manager makes.

Change: ManagerFile.read_settings, which only the manager uses, sets watches_endpoints.

--- a/cottonladder/config/manager_config.py
+++ b/cottonladder/config/manager_config.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from .deployment import DeploymentSettings, read_settings
@@ -58,7 +58,11 @@
             raise ConfigFileError(path, f"not JSON: {exc}") from None
 
     def read_settings(self) -> DeploymentSettings:
-        """Returns the deployment's settings, with the seed of the policy's random choices."""
+        """Returns the deployment's settings, with the seed of the policy's random choices.
+
+        `Discovery` has no effect here: over HTTP, discovery only writes on calls that the manager makes, so
+        the endpoint list is watched whatever its value.
+        """
         seed = self._read_seed()
         body = read_field(self.body, "settings", dict, self.path)
         location = f"{self.path}: settings"
@@ -66,7 +70,7 @@
         slice_count = settings.parameters.slice_count
         if slice_count:
             raise FieldValueError(location, "KeyRanges", "0 (the wire protocol has no slices)", slice_count)
-        return settings
+        return replace(settings, parameters=replace(settings.parameters, watches_endpoints=True))
 
     def known_list(self) -> JsonObject:
         """Returns the last known endpoint list; `protocol.endpoint_list` reads and checks its fields."""
--- a/cottonladder/model/parameters.py
+++ b/cottonladder/model/parameters.py
@@ -29,9 +29,11 @@
 class DeploymentParameters:
     """The deployment's settings for this manager: what it may do, and which limits it must keep.
 
-    `max_poll_interval_s` is the time within which the endpoint list is to be polled.  `warm_up_start_ratio`
-    is the fraction of its capacity that a worker has when it starts.  `collapse_load_multiple` is the load at
-    which a warming-up worker collapses, as a multiple of its capacity.
+    `watches_endpoints` tells whether the policy has to order the watch on the endpoint list, because changes
+    do not arrive by themselves.  `max_poll_interval_s` is the time within which the list is to be polled.
+    `warm_up_start_ratio` is the fraction of its capacity that a worker has when it starts.
+    `collapse_load_multiple` is the load at which a warming-up worker collapses, as a multiple of its
+    capacity.
     """
 
     seed: int
--- a/tests/control/test_deployment_settings.py
+++ b/tests/control/test_deployment_settings.py
@@ -18,6 +18,9 @@
     async def test_drains_are_learned_if_discovery_is_subscribe(self) -> None:
         await self.check_that_a_drain_is_learned("subscribe")
 
+    async def test_drains_are_learned_if_discovery_is_automatic(self) -> None:
+        await self.check_that_a_drain_is_learned("automatic")
+
     async def check_that_a_drain_is_learned(self, value: str) -> None:
         """Starts a manager with a value of `Discovery`, and waits until a drained worker leaves a table."""
         program = await self.start_serving(settings={"Discovery": value})
