Space failed calls to discovery where the settings have no poll interval

Evidence: 12 calls in 3 s to a discovery service that answers 503, with the setting missing and with 0: one at each tick of the policy.

Change: config/deployment.py reads a missing or zero interval as 10 s, so that a failed call is repeated after 1 to 2 s as elsewhere.

--- a/cottonladder/config/deployment.py
+++ b/cottonladder/config/deployment.py
@@ -21,6 +21,7 @@
 )
 
 MIN_DIVISOR = 1e-3  # minimum of settings that the policy divides by, in the unit of the setting
+DEFAULT_POLL_INTERVAL_S = 10.0  # for settings without AskWithinMs, which only `subscribe` requires
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +95,12 @@
     return slice_count
 
 
+def _max_poll_interval_s(rules: JsonObject, location: str) -> float:
+    """Reads the longest poll interval, of which a fraction is the delay between failed calls to discovery."""
+    interval_s = read_bounded_seconds(rules, "AskWithinMs", location, default=0.0)
+    return interval_s or DEFAULT_POLL_INTERVAL_S
+
+
 def _deployment_parameters(
     info: JsonObject, profiles: list[Any], zone_count: int, seed: int, location: str
 ) -> DeploymentParameters:
@@ -109,7 +116,7 @@
         request_classes=request_classes,
         proxy_count=read_integer(family, "Proxies", location, 1),
         watches_endpoints=read_field(info, "Discovery", str, location) == "subscribe",
-        max_poll_interval_s=read_bounded_seconds(rules, "AskWithinMs", location, default=0.0),
+        max_poll_interval_s=_max_poll_interval_s(rules, location),
         health_checks=read_field(limits, "Probing", bool, location, False),
         gossip=read_field(limits, "Peers", bool, location, False),
         admission_mode=_admission_mode(family, location),
