--- a/tests/control/test_manager_program.py
+++ b/tests/control/test_manager_program.py
@@ -19,26 +19,15 @@
 from cottonladder.model.orders import Order
 from cottonladder.policy.controller import RoutingController
 from cottonladder.protocol.gossip import GossipSocket
+from tests.support.gossip_peer import LOOPBACK, GossipPeer, unused_udp_port
 from tests.support.http_server import scripted_answer
 from tests.support.manager_test_case import ManagerTestCase
 from tests.support.scripted_discovery import endpoint_entry, endpoint_list
 from tests.support.timeouts import in_time
 
-LOOPBACK = "127.0.0.1"
 SUPERSEDED_TIMEOUT_NAME = "cottonladder.protocol.stream_listener.SUPERSEDED_TIMEOUT_S"
 
 
-class GossipPeer(asyncio.DatagramProtocol):
-    """The UDP endpoint of another manager, with the received datagrams in a queue."""
-
-    def __init__(self) -> None:
-        self.received: asyncio.Queue[bytes] = asyncio.Queue()
-
-    def datagram_received(self, data: bytes, _address: object) -> None:
-        """Queues a received datagram for the test."""
-        self.received.put_nowait(data)
-
-
 class FaultyController(RoutingController):
     """A controller that raises ZeroDivisionError when a timer fires."""
 
@@ -176,15 +165,11 @@
         )
 
     async def test_gossip_is_sent_to_the_peers_and_invalid_datagrams_do_not_stop_the_manager(self) -> None:
-        loop = asyncio.get_running_loop()
-        peer_transport, peer = await loop.create_datagram_endpoint(GossipPeer, local_addr=(LOOPBACK, 0))
-        unknown_transport, _ = await loop.create_datagram_endpoint(GossipPeer, local_addr=(LOOPBACK, 0))
-        # Opened only to find a free port for the manager.
-        reserved_transport, _ = await loop.create_datagram_endpoint(GossipPeer, local_addr=(LOOPBACK, 0))
-        manager_port = reserved_transport.get_extra_info("sockname")[1]
-        peer_port = peer_transport.get_extra_info("sockname")[1]
-        reserved_transport.close()
-        addresses = [f"{LOOPBACK}:{manager_port}", f"{LOOPBACK}:{peer_port}"]
+        peer = GossipPeer()
+        peer_transport = await peer.open()
+        unknown_transport = await GossipPeer().open()
+        manager_port = unused_udp_port()
+        addresses = [f"{LOOPBACK}:{manager_port}", f"{LOOPBACK}:{peer.port}"]
         program = await self.start_serving(
             settings={"Limits": {"Probing": False, "Peers": True}, "NInstances": 2},
             peer_listen=addresses[0],
--- a/tests/weight_advice/manager_case.py
+++ b/tests/weight_advice/manager_case.py
@@ -14,7 +14,7 @@
 from cottonladder.testbed.fleet import ManagerProcess
 from cottonladder.weight_advice import dfp, sasp
 from tests.support import program_with_constants
-from tests.support.stream_client import StreamClient
+from tests.support.stream_client import StreamClient, apply_config
 
 EVENT_TIMEOUT_S = 20.0
 TABLE_TIMEOUT_S = 60.0
@@ -95,22 +95,7 @@
         while not predicate():
             message = await proxy.receive()
             self.assertLess(time.monotonic(), end, table)
-            fields = dict(zip(message.split()[1::2], message.split()[2::2], strict=True))
-            apply_config(table, fields)
+            apply_config(table, message)
             self.assertTrue(table)
-            if "stamp" in fields:
+            if "stamp" in message:
                 proxy.acknowledge(message)
-
-
-def apply_config(table: dict[str, float], fields: dict[str, str]) -> None:
-    """Applies one CONFIG message to a routing table."""
-    if "replace" in fields:
-        table.clear()
-    if "rows" in fields:
-        for row in fields["rows"].split(","):
-            worker_id, _, weight = row.rpartition(":")
-            table[worker_id] = float(weight)
-            if not table[worker_id]:
-                del table[worker_id]
-    for worker_id in fields.get("drop", "").split(","):
-        table.pop(worker_id, None)
