--- a/cottonladder/control/snapshot_manager.py
+++ b/cottonladder/control/snapshot_manager.py
@@ -113,13 +113,19 @@
         self.restored_credits = restored_credits(snapshot, age_s)
 
     def _write_snapshot(self) -> Iterator[Awaitable[Any] | None]:
-        """Collects a snapshot in slices, then writes it in a thread; the work of the background task."""
+        """Collects a snapshot in slices, then writes it in a thread; the work of the background task.
+
+        The list's version is read before the workers.  A restarted manager asks for the changes after it, so
+        the snapshot may have later changes, but must not lack an earlier one.
+        """
         controller = self._controller
         if controller is None:
             return
+        list_version = self.current_list_version()
+        yield None  # the control loop applies the updates up to this version, which may still be queued
         collector = SnapshotCollector(controller, self._workers)
         yield from collector.collect()
-        snapshot = collector.snapshot(self.current_list_version(), self.current_credits())
+        snapshot = collector.snapshot(list_version, self.current_credits())
         yield asyncio.to_thread(self._encode_and_write, snapshot)
 
     def _encode_and_write(self, snapshot: ManagerSnapshot) -> None:
