--- a/cottonladder/testbed/configuration_files.py
+++ b/cottonladder/testbed/configuration_files.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 OperatorSection = Mapping[str, object]  # a section of the operators' file without a TypedDict
 
@@ -39,6 +39,7 @@
     FallMultiple: float
     WarmAfterMs: float
     AskWithinMs: float
+    DrainGraceMs: NotRequired[float]
 
 
 class Limits(TypedDict):
--- a/tests/benchmarks/test_harness.py
+++ b/tests/benchmarks/test_harness.py
@@ -15,7 +15,7 @@
 
 from benchmarks import harness, scale
 
-BENCHMARKS = ("advice", "memory", "plugins", "scale", "starts", "upgraded")
+BENCHMARKS = ("advice", "endpoint_soak", "memory", "plugins", "scale", "starts", "upgraded")
 SMALL_FLEET = {"proxies": 20, "workers": 8, "zones": 2, "managers": 2}
 
 
--- a/tests/control/test_report_and_message_settings.py
+++ b/tests/control/test_report_and_message_settings.py
@@ -10,12 +10,13 @@
 
 from aiohttp import web
 
+from cottonladder.testbed.steered_proxy import apply_config
 from tests.support.http_server import Handler
 from tests.support.json_object import JsonObject
 from tests.support.manager_program import SETTINGS, ManagerProgram
 from tests.support.manager_test_case import ManagerTestCase
 from tests.support.scripted_discovery import endpoint_entry, endpoint_list
-from tests.support.stream_client import StreamClient, apply_config
+from tests.support.stream_client import StreamClient
 from tests.support.timeouts import in_time
 
 LIGHT_LOAD = 1.0  # requests in flight at the lightly loaded workers
--- a/tests/support/stream_client.py
+++ b/tests/support/stream_client.py
@@ -55,19 +55,3 @@
     def close(self) -> None:
         """Closes the connection."""
         self.writer.close()
-
-
-def apply_config(table: dict[str, float], message: str) -> None:
-    """Applies a CONFIG message to a routing table, which has the weights of the workers by id."""
-    words = message.split()
-    fields = dict(zip(words[1::2], words[2::2], strict=True))
-    if "replace" in fields:
-        table.clear()
-    if "rows" in fields:
-        for row in fields["rows"].split(","):
-            worker_id, _, weight = row.rpartition(":")
-            table[worker_id] = float(weight)
-            if not table[worker_id]:
-                del table[worker_id]
-    for worker_id in fields.get("drop", "").split(","):
-        table.pop(worker_id, None)
--- a/tests/weight_advice/manager_case.py
+++ b/tests/weight_advice/manager_case.py
@@ -12,9 +12,10 @@
 from cottonladder.testbed.balancers import SaspBalancer
 from cottonladder.testbed.discovery import SimulatedDiscovery
 from cottonladder.testbed.fleet import ManagerProcess
+from cottonladder.testbed.steered_proxy import apply_config
 from cottonladder.weight_advice import dfp, sasp
 from tests.support import program_with_constants
-from tests.support.stream_client import StreamClient, apply_config
+from tests.support.stream_client import StreamClient
 
 EVENT_TIMEOUT_S = 20.0
 TABLE_TIMEOUT_S = 60.0
