Endpoint soak: count managers that end by themselves

A manager that crashes during the soak was restarted at the next planned restart without a trace in the counts. _stop_manager counts it, and the run has failed then.

--- a/benchmarks/endpoint_soak.py
+++ b/benchmarks/endpoint_soak.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.endpoint_soak --json --seed 7 --duration 1800 --discovery automatic
 
-The exit status is 1 if a worker stayed in a table for too long after its drain, if a proxy had no worker for
-too long, or if a worker is not used at the end.
+The exit status is 1 if the manager crashed, if a worker stayed in a table for too long after its drain, if a
+proxy had no worker for too long, or if a worker is not used at the end.
 """
 
 from __future__ import annotations
@@ -28,6 +28,7 @@
     outages: int
     resets: int
     restarts: int
+    crashes: int
     late_drains: int
     proxies_without_worker: int
     unused_workers: int
@@ -51,6 +52,7 @@
         outages=counts.outages,
         resets=counts.resets,
         restarts=counts.restarts,
+        crashes=counts.crashes,
         late_drains=counts.late_drains,
         proxies_without_worker=counts.proxies_without_worker,
         unused_workers=counts.unused_workers,
--- a/cottonladder/testbed/endpoint_soak.py
+++ b/cottonladder/testbed/endpoint_soak.py
@@ -51,6 +51,7 @@
     outages: int = 0
     resets: int = 0
     restarts: int = 0
+    crashes: int = 0  # managers that ended by themselves
     late_drains: int = 0
     proxies_without_worker: int = 0
     max_drain_s: float = 0.0
@@ -58,8 +59,8 @@
 
     @property
     def has_failed(self) -> bool:
-        """Whether a rule was broken, or a worker is not used at the end."""
-        return bool(self.late_drains or self.proxies_without_worker or self.unused_workers)
+        """Whether a rule was broken, a manager crashed, or a worker is not used at the end."""
+        return any((self.crashes, self.late_drains, self.proxies_without_worker, self.unused_workers))
 
 
 @dataclass(slots=True)
@@ -107,7 +108,7 @@
                 background = [group.create_task(work) for work in (self._check_continuously(), *runs)]
                 await asyncio.gather(self._replace_workers(duration_s), self._cause_faults(duration_s))
                 await asyncio.sleep(SETTLE_S)
-                self._check_successors()
+                self._count_unused_workers()
                 for task in background:
                     task.cancel()
         return self.counts
@@ -127,8 +128,11 @@
         self._manager_started_at = time.monotonic()
 
     async def _stop_manager(self) -> None:
-        if self._manager is not None:
-            await self._manager.stop(signal.SIGKILL)
+        if self._manager is None or self._manager.process is None:
+            return
+        if self._manager.process.returncode is not None:
+            self.counts.crashes += 1
+        await self._manager.stop(signal.SIGKILL)
 
     async def _list_worker(self, name: str, zone: str, started_at: float) -> None:
         await self._discovery.put(name, UNREACHABLE_WORKER_ADDRESS, zone, started_at=started_at)
@@ -218,7 +222,7 @@
             observed.without_worker_since = None
             self.counts.proxies_without_worker += 1
 
-    def _check_successors(self) -> None:
+    def _count_unused_workers(self) -> None:
         """Counts the workers in service that no proxy uses, once all of them are warm."""
         used = {name for observed in self._proxies for name in observed.proxy.table}
         self.counts.unused_workers = len(set(self._in_service) - used)
