--- a/review/rig/discovery.py
+++ b/review/rig/discovery.py
@@ -92,7 +92,7 @@
         try:
             return await self._watch(client, request, int(query["after"]))
         except ConnectionError:
-            raise ConnectionResetError from None  # the client has gone: aiohttp sends no answer
+            return web.Response()  # the client has gone, so this is not sent
         finally:
             self._watches.remove(watch)
 
--- a/review/rig/http_workers.py
+++ b/review/rig/http_workers.py
@@ -1,4 +1,4 @@
-"""A stand-in for a worker that runs releases, and clients that send them."""
+"""A stand-in for a worker that runs bookings, and clients that send them."""
 
 from __future__ import annotations
 
@@ -18,13 +18,13 @@
 
 
 class HttpWorker:
-    """A worker: it runs each release in `WORK_S`, also while it drains, until its process ends."""
+    """A worker: it runs each booking in `WORK_S`, also while it drains, until its process ends."""
 
     def __init__(self, case: Case, name: str) -> None:
         self.name = name
         self.address = ""
         self.arrivals: list[float] = []
-        self.ran: Counter[str] = Counter()  # by id of the release
+        self.ran: Counter[str] = Counter()  # by id of the booking
         self._case = case
         self._runner: web.ServerRunner | None = None
 
@@ -52,14 +52,14 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.arrivals.append(self._case.now)
-        release = (await request.read()).decode()
-        self.ran[release] += 1
+        booking = (await request.read()).decode()
+        self.ran[booking] += 1
         await asyncio.sleep(WORK_S)
-        return web.Response(text=f"done {release}", headers={"Worker": self.name})
+        return web.Response(text=f"done {booking}", headers={"Worker": self.name})
 
 
 class Clients:
-    """Clients that send releases one after another, each with an id of its own."""
+    """Clients that send bookings one after another, each with an id of its own."""
 
     def __init__(self, case: Case, url: str, count: int) -> None:
         self.answers: list[tuple[float, str, int, str]] = []  # time, id, status and text
@@ -83,16 +83,16 @@
         timeout = aiohttp.ClientTimeout(total=CLIENT_TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
-                await self._send(session, f"r{next(self._ids)}")
+                await self._send(session, f"b{next(self._ids)}")
 
-    async def _send(self, session: aiohttp.ClientSession, release: str) -> None:
+    async def _send(self, session: aiohttp.ClientSession, booking: str) -> None:
         status = 0
         text = "no answer"
         with suppress(aiohttp.ClientError, TimeoutError):
-            async with session.post(self._url, data=release) as reply:
+            async with session.post(self._url, data=booking) as reply:
                 status = reply.status
                 text = (await reply.text()).strip()
-        self.answers.append((self._case.now, release, status, text))
+        self.answers.append((self._case.now, booking, status, text))
         if status != 200:
-            self._case.record(f"client: release {release} was answered {status} {text!r}")
+            self._case.record(f"client: booking {booking} was answered {status} {text!r}")
             await asyncio.sleep(WORK_S)
--- a/review/rig/processes.py
+++ b/review/rig/processes.py
@@ -80,7 +80,7 @@
 
 
 def manager_config(
-    port: int, discovery: str, known: Mapping[str, object], **changes: Mapping[str, object]
+    port: int, discovery: str, known: Mapping[str, object], **changes: object
 ) -> dict[str, object]:
     """Returns the file of a manager of a small deployment; `changes` replace parts of its settings."""
     settings: dict[str, object] = {
