--- a/review/4/case.py
+++ b/review/4/case.py
@@ -140,7 +140,7 @@
         stream = deployment.proxies[node].stream_at(arrived_at)
         if stream is None:
             continue
-        answered_at = max(time for time in deployment.answered_at if time <= stream.joined_at)
+        answered_at = max(time for time in deployment.answered_at if time <= arrived_at)
         began_at = max(told_at, stream.joined_at, answered_at + FIRST_ANSWER_S)
         if arrived_at > began_at + GRACE_S + SLACK_S:
             late.append((arrived_at, arrived_at - began_at, node))
