Log and count drains that proxies are not told of in time

Change: `ChannelBudget.reserve` returns why it refuses (reason and first proxy) in place of False. `policy/drain_progress` keeps which drains proxies do not know of; `control/drain_monitor` logs `drain_delayed` and `drain_delay_ended`, and answers `drains` and `metrics` on the admin socket, with a command for each. No decision changes.

--- a/cottonladder/cli/main.py
+++ b/cottonladder/cli/main.py
@@ -17,11 +17,13 @@
 LAZY_COMMANDS = {  # module:attribute by the name of the command
     "advice": "advice:advice",
     "demo": "demo:demo",
+    "drains": "process_status:drains",
     "forward": "forwarder:forward",
     "memory": "memory:memory",
+    "metrics": "process_status:metrics",
     "plugin": "plugin:plugin",
     "schema": "operator_schema:schema",
-    "tasks": "tasks:tasks",
+    "tasks": "process_status:tasks",
 }
 REPORTED_LIBRARIES = ("aiohttp", "click", "structlog")
 
--- a/cottonladder/cli/tasks.py
+++ b/cottonladder/cli/process_status.py
@@ -1,4 +1,4 @@
-"""The `tasks` command, which queries the admin socket of a running process for its background tasks."""
+"""The commands that query the admin socket of a running process: `tasks`, `drains` and `metrics`."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import click
 
-from ..control.admin_socket import TASKS_QUERY
+from ..control.admin_socket import DRAINS_QUERY, METRICS_QUERY, TASKS_QUERY
 from .errors import CommandError
 from .options import json_option
 from .output import print_rows
@@ -23,13 +23,34 @@
 @json_option
 def tasks(path: str, as_json: bool) -> None:
     """Show the background tasks of a running process, read from its admin socket."""
+    _print_answer(path, TASKS_QUERY, "task", as_json)
+
+
+@click.command()
+@click.argument("path", type=click.Path(exists=True), metavar="SOCKET")
+@json_option
+def drains(path: str, as_json: bool) -> None:
+    """Show the drains that a manager's proxies have not been told of in time, longest wait first."""
+    _print_answer(path, DRAINS_QUERY, "proxy", as_json)
+
+
+@click.command()
+@click.argument("path", type=click.Path(exists=True), metavar="SOCKET")
+@json_option
+def metrics(path: str, as_json: bool) -> None:
+    """Show the metrics of a running manager, read from its admin socket."""
+    _print_answer(path, METRICS_QUERY, "metric", as_json)
+
+
+def _print_answer(path: str, query: str, empty_header: str, as_json: bool) -> None:
+    """Queries a process and prints the rows of its answer, or only `empty_header` if it has none."""
     try:
-        rows = _query(path, TASKS_QUERY)
+        rows = _query(path, query)
     except OSError as exc:
         raise CommandError(f"{path}: {exc.strerror or exc}") from exc
     except ValueError as exc:
         raise CommandError(f"{path}: the answer must be one line of JSON: {exc}") from exc
-    header = list(rows[0]) if rows else ["task"]
+    header = list(rows[0]) if rows else [empty_header]
     print_rows(header, rows, as_json)
 
 
--- a/cottonladder/control/admin_socket.py
+++ b/cottonladder/control/admin_socket.py
@@ -17,6 +17,8 @@
 from ..config.errors import ConfigError
 
 TASKS_QUERY = "tasks"  # request for the status of each background task
+DRAINS_QUERY = "drains"  # request for the drains that proxies have not been told of in time
+METRICS_QUERY = "metrics"  # request for the metrics of the process
 SETTING = "control"  # key of the socket's path in the operators' file
 MAX_REQUEST_BYTES = 256
 REQUEST_TIMEOUT_S = 2.0  # time to receive the request and send the answer
--- a/cottonladder/control/control_loop.py
+++ b/cottonladder/control/control_loop.py
@@ -52,12 +52,13 @@
 class ControlLoopObservers:
     """Optional callbacks of the control loop.
 
-    `on_loop_lag` is called after each long batch and late timer, and `on_state_change` with each state change
-    of the policy.
+    `on_loop_lag` is called after each long batch and late timer, `on_state_change` with each state change
+    of the policy, and `on_step` with the controller's clock, in seconds, after each batch.
     """
 
     on_loop_lag: Callable[[], None] | None = None
     on_state_change: Callable[[StateChange], None] | None = None
+    on_step: Callable[[float], None] | None = None
 
 
 NO_OBSERVERS = ControlLoopObservers()
@@ -123,6 +124,8 @@
         if any(isinstance(order, Checkpoint) for order in orders):
             self._controller.channel_budget.record_written(self._dispatcher.pending_line_counts())
         self._send_messages(now)
+        if self._observers.on_step is not None:
+            self._observers.on_step(now)
 
     def close(self) -> None:
         """Cancels the policy's timers; called once `run` has ended."""
--- a/cottonladder/control/extensions.py
+++ b/cottonladder/control/extensions.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..model.state_changes import StateChange
@@ -22,6 +22,7 @@
     from ..config.operator_config import OperatorConfig, SnapshotConfig
     from .background_scheduler import BackgroundScheduler
     from .connection_migrator import ConnectionMigrator
+    from .drain_monitor import DrainMonitor
     from .plugin_extension import PluginExtension
     from .snapshot_manager import SnapshotManager
     from .weight_advisor import WeightAdvisor
@@ -29,10 +30,14 @@
 
 @dataclass(slots=True)
 class BackgroundServices:
-    """The background scheduler and the snapshot manager; each is None if the operators' file disables it."""
+    """The background scheduler and the snapshot manager; each is None if the operators' file disables it.
+
+    `admin_answers` has the functions that answer the admin socket, by request; later ones may be added.
+    """
 
     scheduler: BackgroundScheduler | None = None
     snapshots: SnapshotManager | None = None
+    admin_answers: dict[str, Callable[[], object]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -73,10 +78,11 @@
         snapshots = await _start_snapshots(operator.memory, config, scheduler, stack)
     else:
         stack.push_async_callback(scheduler.close)
+    services = BackgroundServices(scheduler, snapshots)
     if operator.control:
-        await _open_admin_socket(operator.control, scheduler, stack)
+        await _open_admin_socket(operator.control, services, scheduler, stack)
     scheduler.start()
-    return BackgroundServices(scheduler, snapshots)
+    return services
 
 
 async def _start_snapshots(
@@ -93,10 +99,23 @@
     return snapshots
 
 
-async def _open_admin_socket(path: str, scheduler: BackgroundScheduler, stack: AsyncExitStack) -> None:
+async def _open_admin_socket(
+    path: str, services: BackgroundServices, scheduler: BackgroundScheduler, stack: AsyncExitStack
+) -> None:
     from .admin_socket import TASKS_QUERY, AdminSocket
 
-    await AdminSocket(path, {TASKS_QUERY: scheduler.status_rows}).listen(stack)
+    services.admin_answers[TASKS_QUERY] = scheduler.status_rows
+    await AdminSocket(path, services.admin_answers).listen(stack)
+
+
+def answer_drain_queries(background: BackgroundServices, monitor: DrainMonitor) -> None:
+    """Makes the admin socket, if there is one, answer requests for delayed drains and metrics."""
+    if not background.admin_answers:
+        return
+    from .admin_socket import DRAINS_QUERY, METRICS_QUERY
+
+    background.admin_answers[DRAINS_QUERY] = monitor.drain_rows
+    background.admin_answers[METRICS_QUERY] = monitor.metric_rows
 
 
 def create_extensions(
--- a/cottonladder/control/manager.py
+++ b/cottonladder/control/manager.py
@@ -24,9 +24,11 @@
 from . import signals
 from .connection_limits import connection_limits
 from .control_loop import ControlLoop, ControlLoopObservers, NetworkClients
+from .drain_monitor import DrainMonitor
 from .extensions import (
     BackgroundServices,
     Extensions,
+    answer_drain_queries,
     create_extensions,
     restore_advisor_credits,
     set_snapshot_sources,
@@ -140,13 +142,17 @@
         set_snapshot_sources(background.snapshots, extensions, network_clients.discovery)
         restore_advisor_credits(background.snapshots, extensions)
         loop_extensions.insert(0, background.snapshots)
+    controller = RoutingController(settings.parameters)
+    drain_monitor = DrainMonitor(controller, config.workers)
+    answer_drain_queries(background, drain_monitor)
     scheduler = background.scheduler
     observers = ControlLoopObservers(
         on_loop_lag=None if scheduler is None else scheduler.pause_for_loop_lag,
         on_state_change=extensions.state_change_observer(),
+        on_step=drain_monitor.check,
     )
     return ControlLoop(
-        RoutingController(settings.parameters),
+        controller,
         input_queue,
         sessions,
         OrderDispatcher(list(settings.request_classes), settings.parameters.manager_count, config.workers),
--- a/cottonladder/policy/channel_budget.py
+++ b/cottonladder/policy/channel_budget.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from ..model import LineAccount, LineLimit, orders
+from ..model.pending_drains import Refusal, WaitReason
 
 MAX_CHANNEL_SLOWDOWN = 16.0  # assumed ratio of deployed to actual channel rate, until acknowledgements arrive
 MAX_IN_FLIGHT_CHECKPOINTS = 256  # with more checkpoints in flight, the oldest one counts as lost
@@ -37,18 +38,19 @@
         used_lines = waiting + self.reserved_total
         return int(min(queue_lines, channel_lines) - used_lines - self.header_cost(proxies))
 
-    def reserve(self, changes: list[orders.Order], cost: dict[int, int], limit: LineLimit) -> bool:
-        """Reserves the lines of orders if the limits allow it, and returns whether they do.
+    def reserve(self, changes: list[orders.Order], cost: dict[int, int], limit: LineLimit) -> Refusal | None:
+        """Reserves the lines of orders and returns None, or returns why the limits do not allow it.
 
         The lines must fit `limit`, and every proxy must be allowed another message.  `cost` is the number of
         lines by proxy, to which header and checkpoint lines are added.
         """
         if cost and sum(cost.values()) > self.available_lines(cost, limit):
-            return False
-        if not all(proxy in self.reserved_lines or self._may_write(proxy, limit) for proxy in cost):
-            return False
+            return Refusal(WaitReason.CHANNEL, next(iter(cost)))
+        for proxy in cost:
+            if proxy not in self.reserved_lines and not self._may_write(proxy, limit):
+                return Refusal(WaitReason.MESSAGE_LIMIT, proxy)
         self.add_reservation(changes, cost)
-        return True
+        return None
 
     def _may_write(self, proxy: int, limit: LineLimit) -> bool:
         """Returns whether a proxy may be sent a message now.
--- a/cottonladder/policy/controller.py
+++ b/cottonladder/policy/controller.py
@@ -16,6 +16,7 @@
 from .capacity import CapacityEstimator
 from .channel_budget import MAX_CHANNEL_SLOWDOWN, MAX_IN_FLIGHT_CHECKPOINTS, ChannelBudget
 from .demand import estimate_demand
+from .drain_progress import DrainProgress
 from .gossip_exchange import GossipExchange
 from .health_check_schedule import HealthCheckSchedule
 from .load_shedding import LoadShedding
@@ -47,7 +48,8 @@
         self._shedding = LoadShedding(self.state, self._overload)
         self.capacity = CapacityEstimator(self.state, self._overload, self._shedding)
         self.capacities: dict[int, float] = {}  # by worker index, at the last solution
-        self._deltas = TableDeltas(self.state, self.channel_budget)
+        self.drain_progress = DrainProgress(self.state)
+        self._deltas = TableDeltas(self.state, self.channel_budget, self.drain_progress)
         self._binding = ProxyBinding(self.state, self.channel_budget, self._deltas)
         self._flow = FlowPlanner(
             self.state, self.capacity, self._overload, self._shedding, TablePartition(self.state)
@@ -65,7 +67,7 @@
             inputs.EndpointList: self._on_endpoint_list,
             inputs.TimerFired: self._on_timer,
             inputs.ProxyConnected: self._on_proxy_connected,
-            inputs.ProxyDisconnected: self._reports.disconnect_proxy,
+            inputs.ProxyDisconnected: self._on_proxy_disconnected,
             inputs.Acknowledged: self._on_acknowledged,
             inputs.LoadReport: self._reports.add_load_report,
             inputs.ArrivalReport: self._reports.add_arrivals,
@@ -136,10 +138,16 @@
         self._reports.connect_proxy(connected)
         # Messages on the previous connection do not count towards the limit of the new one.
         self.channel_budget.written_at.pop(connected.proxy, None)
+        self.drain_progress.forget_connection(connected.proxy)
         self._next_solve_at = self.state.now
 
+    def _on_proxy_disconnected(self, disconnected: inputs.ProxyDisconnected) -> None:
+        self._reports.disconnect_proxy(disconnected)
+        self.drain_progress.forget_connection(disconnected.proxy)
+
     def _on_acknowledged(self, acknowledged: inputs.Acknowledged) -> None:
         self.channel_budget.acknowledge(acknowledged.checkpoint, acknowledged.proxy)
+        self.drain_progress.acknowledge(acknowledged.proxy, acknowledged.checkpoint)
         proxy = self.state.proxies.by_number.get(acknowledged.proxy)
         if proxy is not None:
             self._reachability.record_proxy(proxy.zone)
@@ -173,7 +181,7 @@
         state = self.state
         self.channel_budget.advance_time(state.now, MAX_CHANNEL_SLOWDOWN)
         self._deltas.class_admissions = self._shedding.class_admissions()
-        send_exclusions(state, self.channel_budget)
+        send_exclusions(state, self.channel_budget, self.drain_progress)
         overdue_before = state.now - OVERDUE_GRACE_RATIO * state.parameters.drain_grace_s
         if not state.parameters.slice_count:
             self._binding.bind_proxies(overdue_before)
@@ -184,6 +192,7 @@
         written, lines_by_proxy = self.channel_budget.commit(MAX_IN_FLIGHT_CHECKPOINTS)
         state.pending_orders.extend(written)
         state.tables.mark_written(self.channel_budget.last_checkpoint, state.now, lines_by_proxy)
+        self.drain_progress.record_written(self.channel_budget.last_checkpoint, lines_by_proxy)
 
     def _send_removals(self, overdue_before: float) -> None:
         """Removes departed workers from the tables, starting with the table with the earliest departure.
--- a/cottonladder/policy/proxy_binding.py
+++ b/cottonladder/policy/proxy_binding.py
@@ -50,7 +50,7 @@
         excluded = {i for i in table.sent_weights if self._state.workers.by_index[i].is_excluded}
         cost = self._budget.bind_cost(number, table, excluded)
         bind = orders.BindProxy(number, table.number, ALL_CLASSES)
-        if table.sent_weights and self._budget.reserve([bind], cost, limit):
+        if table.sent_weights and self._budget.reserve([bind], cost, limit) is None:
             self._state.tables.bind(number, table, self._state.proxies)
         return True
 
--- a/cottonladder/policy/table_deltas.py
+++ b/cottonladder/policy/table_deltas.py
@@ -12,7 +12,9 @@
 from collections.abc import Collection
 
 from ..model import ClassAdmission, ControllerState, LineLimit, RoutingTable, inputs, orders
+from ..model.pending_drains import Refusal, WaitReason
 from .channel_budget import CRITICAL_LIMIT, DELTA_LIMIT, URGENT_LIMIT, ChannelBudget
+from .drain_progress import DrainProgress
 from .warm_up import is_warming_up
 
 # A change of weight is sent if it is over this fraction of the sent weight.  A change of admission is sent
@@ -28,10 +30,11 @@
 class TableDeltas:
     """Changes of tables, which are ordered within the channel budget."""
 
-    def __init__(self, state: ControllerState, budget: ChannelBudget) -> None:
+    def __init__(self, state: ControllerState, budget: ChannelBudget, progress: DrainProgress) -> None:
         self.class_admissions: dict[int, ClassAdmission] = {}  # by class, as desired
         self._state = state
         self._budget = budget
+        self._progress = progress
 
     def acknowledge(self, acknowledged: inputs.Acknowledged) -> bool:
         """Records an acknowledgement, and returns whether a table's next delta may be sent because of it."""
@@ -48,7 +51,11 @@
         self._expire_acknowledgement_wait(table)
         urgent = self._not_excluded(removed_workers)
         if urgent and table.readers and table.desired_weights:
-            self._send_changes(table, urgent, CRITICAL_LIMIT, self._keeps_usable_worker(table, urgent))
+            keeps_usable_worker = self._keeps_usable_worker(table, urgent)
+            refusal = self._send_changes(table, urgent, CRITICAL_LIMIT, keeps_usable_worker)
+            if refusal is None and any(index in table.sent_weights for index in urgent):
+                refusal = Refusal(WaitReason.CHANNEL, next(iter(table.readers)))
+            self._progress.record_removal(table, urgent[0], refusal)
 
     def send_update(self, table: RoutingTable, overweight: Collection[int]) -> None:
         """Sends changes towards the desired table; lines of `overweight` workers go first and do not wait."""
@@ -89,8 +96,8 @@
 
     def _send_changes(
         self, table: RoutingTable, urgent: list[int], limit: LineLimit, keeps_usable_worker: bool
-    ) -> None:
-        """Sends as many changes as the budget allows.
+    ) -> Refusal | None:
+        """Sends as many changes as the budget allows, and returns why if it allows none.
 
         If there are urgent changes and a usable worker remains, the urgent ones go first, and others are
         added only as far as DELTA_LIMIT allows.  Nothing is sent if the budget cannot reserve the lines of
@@ -103,8 +110,10 @@
         changes = self._draft_changes(
             table, MIN_WEIGHT_CHANGE, max_orders, urgent if keeps_usable_worker else []
         )
-        if not self._budget.reserve(changes, self._budget.delta_cost(changes, table.readers), limit):
+        refusal = self._budget.reserve(changes, self._budget.delta_cost(changes, table.readers), limit)
+        if refusal is not None:
             table.restore_sent(previously_sent)
+        return refusal
 
     def _affordable_order_count(self, table: RoutingTable, limit: LineLimit) -> int:
         """Returns how many orders may be sent to every reader of the table."""
--- a/cottonladder/policy/worker_exclusion.py
+++ b/cottonladder/policy/worker_exclusion.py
@@ -8,9 +8,10 @@
 
 from ..model import ControllerState, WorkerState, orders
 from .channel_budget import CRITICAL_LIMIT, ChannelBudget
+from .drain_progress import DrainProgress
 
 
-def send_exclusions(state: ControllerState, budget: ChannelBudget) -> None:
+def send_exclusions(state: ControllerState, budget: ChannelBudget, progress: DrainProgress) -> None:
     """Orders the exclusions that are due, as far as the channel budget allows."""
     cannot_give_tables = _cannot_give_tables(state)
     for index, worker in state.workers.by_index.items():
@@ -18,7 +19,10 @@
         if worker.is_excluded == is_departed or (is_departed and not cannot_give_tables):
             continue
         cost = dict.fromkeys(_proxies_that_may_know(state, index), 1)
-        if budget.reserve([orders.ExcludeWorker(index, excluded=is_departed)], cost, CRITICAL_LIMIT):
+        exclusion = orders.ExcludeWorker(index, excluded=is_departed)
+        refusal = budget.reserve([exclusion], cost, CRITICAL_LIMIT)
+        progress.record_exclusion(index, refusal)
+        if refusal is None:
             worker.is_excluded = is_departed
 
 
--- a/cottonladder/policy/worker_removal.py
+++ b/cottonladder/policy/worker_removal.py
@@ -20,6 +20,13 @@
     return [index for index in table.sent_weights if workers[index].state is removed]
 
 
+def first_departed(state: ControllerState, table: RoutingTable) -> int | None:
+    """Returns the worker that departed first of those that a table still names and that are not excluded."""
+    workers = state.workers.by_index
+    named = [index for index in removed_workers(state, table) if not workers[index].is_excluded]
+    return min(named, key=lambda index: workers[index].departed_at, default=None)
+
+
 def first_departure_time(state: ControllerState, table: RoutingTable) -> float:
     """Returns the earliest departure of the workers that a table still names; infinite if none departed."""
     workers = state.workers.by_index
