Keep a message for drains: pace the messages to a proxy by a drain interval

Cause: `ChannelBudget._may_write` let deltas take two thirds of a proxy's messages at once and other orders the rest at intervals of window / messages, so that after 12 messages in 5.5 s nothing could be written until the first was 10 s old.

Change: a message is written only if afterwards one could follow after every drain interval (`MessageLimit.keeps_interval`), and a delta only if it also leaves one that could follow at once. The same condition then holds after each interval, so no drain waits longer: with 12 messages in 10 s, 1.0 s.

--- a/cottonladder/model/line_account.py
+++ b/cottonladder/model/line_account.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
@@ -118,7 +117,3 @@
         self.reserved_lines = {}
         self.reserved_total = 0
         return orders, lines
-
-    def time_since_last_message_s(self, times: list[float]) -> float:
-        """Returns the seconds since the last of these messages."""
-        return self.updated_at - max(times, default=-math.inf)
--- a/cottonladder/policy/channel_budget.py
+++ b/cottonladder/policy/channel_budget.py
@@ -5,12 +5,16 @@
 exclusions, binds and other urgent orders, the budget counts the lines that still wait in the channel,
 estimated from its assumed rate. For other deltas it counts all lines that are not acknowledged, and applies
 a lower limit. This keeps the queue short, so that a drain never waits behind changes that could have waited.
+
+Messages to a proxy are paced for the same reason: each one is written only if afterwards a message could
+follow after every drain interval, and a delta only if it also leaves a message that could follow at once.
 """
 
 import math
 from collections.abc import Iterable
 
 from ..model import LineAccount, LineLimit, orders
+from ..model.message_pacing import MessageLimit
 from ..model.pending_drains import Refusal, WaitReason
 
 MAX_CHANNEL_SLOWDOWN = 16.0  # assumed ratio of deployed to actual channel rate, until acknowledgements arrive
@@ -23,6 +27,11 @@
 # Limit on all other changes of tables.
 DELTA_LIMIT = LineLimit(queue_ratio=0.45, channel_s=1.5, is_deferrable=True)
 
+# Drain interval as a fraction of the drain grace; ticks, the channel and the way to the proxy take the rest.
+DRAIN_INTERVAL_RATIO = 0.4
+# Fraction of the allowed messages that the drain interval leaves to bursts, where messages are few.
+MIN_BURST_RATIO = 1 / 6
+
 
 class ChannelBudget(LineAccount):
     """Line account that reserves lines for orders to proxies only if they fit into the limits."""
@@ -55,17 +64,22 @@
     def _may_write(self, proxy: int, limit: LineLimit) -> bool:
         """Returns whether a proxy may be sent a message now.
 
-        Deferrable orders use at most two thirds of the messages that a window allows.  Other orders may also
-        use the rest, if the time since the last message is at least the window divided by the allowed
-        messages.  If none are allowed, the number is not limited.
+        Deferrable orders leave a message for a drain that follows at once, if more than one is allowed.
         """
-        times = self.message_times(proxy)
-        allowed = self.parameters.max_messages
-        if allowed <= 0:
+        message_limit = MessageLimit(self.parameters.max_messages, self.parameters.message_window_s)
+        if message_limit.max_messages <= 0:
             return True
-        if (
-            not limit.is_deferrable
-            and self.time_since_last_message_s(times) >= self.parameters.message_window_s / allowed
-        ):
-            return len(times) < allowed
-        return len(times) < allowed * 2 // 3
+        times = self.message_times(proxy)
+        leaves_message = limit.is_deferrable and message_limit.max_messages > 1
+        count = 2 if leaves_message else 1
+        return message_limit.keeps_interval(times, self.updated_at, count, self._drain_interval_s())
+
+    def _drain_interval_s(self) -> float:
+        """Returns the longest time that a drain waits for the limit on messages.
+
+        It follows from the drain grace or, where that would need more messages than are allowed, from them.
+        """
+        parameters = self.parameters
+        burst = min(parameters.max_messages - 1, max(1, int(parameters.max_messages * MIN_BURST_RATIO)))
+        shortest_s = parameters.message_window_s / (parameters.max_messages - burst)
+        return max(DRAIN_INTERVAL_RATIO * parameters.drain_grace_s, shortest_s)
--- /dev/null
+++ b/tests/control/test_drains_within_message_limit.py
@@ -0,0 +1,72 @@
+"""Drains on sockets, under a limit on the messages to each proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from tests.support.manager_program import SETTINGS, ManagerProgram
+from tests.support.manager_test_case import ManagerTestCase
+from tests.support.scripted_discovery import endpoint_entry, endpoint_list
+from tests.support.table_proxy import TableProxy
+from tests.support.timeouts import in_time
+
+GRACE_S = 1.5
+SLACK_S = 0.3  # on sockets, the rule on drains allows this in addition
+DRAINED_WORKERS = [f"s-{number}" for number in range(24)]
+REMAINING_WORKERS = ["s-24", "s-25"]
+DRAIN_INTERVAL_S = 0.4
+
+
+class DrainsWithinMessageLimitTests(ManagerTestCase):
+    async def test_drains_in_quick_succession_are_told_in_time_without_a_limit(self) -> None:
+        await self.check_drains(0)
+
+    async def test_drains_in_quick_succession_are_told_in_time_with_12_messages(self) -> None:
+        """Guards against messages that are used up at once: no drain was told for the rest of the window
+        (review/4)."""
+        await self.check_drains(12)
+
+    async def test_drains_in_quick_succession_are_told_in_time_with_30_messages(self) -> None:
+        await self.check_drains(30)
+
+    async def check_drains(self, max_messages: int) -> None:
+        """Drains workers one after another; checks when a proxy stops using each of them."""
+        program = await self.start_manager(max_messages, window_s=10.0)
+        proxy = TableProxy(await self.join(program, 3))
+        await in_time(proxy.follow(lambda: set(proxy.table) == {*DRAINED_WORKERS, *REMAINING_WORKERS}))
+        draining = asyncio.create_task(self.drain_all())
+        await asyncio.wait_for(proxy.follow(lambda: set(proxy.table) == set(REMAINING_WORKERS)), 60.0)
+        told_at = await draining
+        waits_s = [proxy.removed_at[worker] - told_at[worker] for worker in DRAINED_WORKERS]
+        self.assertLessEqual(max(waits_s), GRACE_S + SLACK_S)
+
+    async def start_manager(self, max_messages: int, window_s: float) -> ManagerProgram:
+        family = {
+            **SETTINGS["FamilyInfo"],
+            "ReloadsMax": max_messages,
+            "ReloadSpanMs": window_s * 1000,
+        }
+        names = [*DRAINED_WORKERS, *REMAINING_WORKERS]
+        return await self.start_serving(
+            settings={"FamilyInfo": family, "Rules": {**SETTINGS["Rules"], "DrainGraceMs": GRACE_S * 1000}},
+            known=endpoint_list(1, *map(endpoint_entry, names), full=True),
+        )
+
+    async def drain_all(self) -> dict[str, float]:
+        """Lists the workers as draining, one after another; returns when the manager was told of each."""
+        told_at: dict[str, float] = {}
+        for number, worker in enumerate(DRAINED_WORKERS):
+            told_at[worker] = await self.drain(worker, version=number + 2)
+            await asyncio.sleep(DRAIN_INTERVAL_S)
+        return told_at
+
+    async def drain(self, worker: str, version: int) -> float:
+        """Lists a worker as draining; returns the monotonic time at which the manager was told."""
+        await self.discovery.send_updates(endpoint_list(version, endpoint_entry(worker, "Terminating")))
+        return time.monotonic()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/control/test_report_and_message_settings.py
+++ b/tests/control/test_report_and_message_settings.py
@@ -4,19 +4,18 @@
 
 import asyncio
 import unittest
-from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
 
 from aiohttp import web
 
-from cottonladder.testbed.steered_proxy import apply_config
 from tests.support.http_server import Handler
 from tests.support.json_object import JsonObject
 from tests.support.manager_program import SETTINGS, ManagerProgram
 from tests.support.manager_test_case import ManagerTestCase
 from tests.support.scripted_discovery import endpoint_entry, endpoint_list
 from tests.support.stream_client import StreamClient
+from tests.support.table_proxy import TableProxy
 from tests.support.timeouts import in_time
 
 LIGHT_LOAD = 1.0  # requests in flight at the lightly loaded workers
@@ -30,29 +29,6 @@
 SETTLE_S = 0.5  # time without a message after which no more are due
 
 
-class TableProxy:
-    """A proxy that keeps the table that it is sent, and counts the messages."""
-
-    def __init__(self, stream: StreamClient) -> None:
-        self.table: dict[str, float] = {}
-        self.message_count = 0
-        self._stream = stream
-
-    def lacks(self, worker_id: str) -> bool:
-        """Returns whether a worker is not in the table."""
-        return worker_id not in self.table
-
-    async def follow(self, predicate: Callable[[], bool]) -> None:
-        """Applies orders until a condition is true; raises TimeoutError if no more arrive."""
-        while not predicate():
-            message = await self._stream.receive()
-            apply_config(self.table, message)
-            if " part 1" not in message:  # the last part of a message
-                self.message_count += 1
-            if "stamp" in message:
-                self._stream.acknowledge(message)
-
-
 class LoadReportTests(ManagerTestCase):
     """Guards against load reports that change no weight, in each way in which deployments have them."""
 
