--- a/cottonladder/model/routing_table.py
+++ b/cottonladder/model/routing_table.py
@@ -30,6 +30,7 @@
         self.desired_weights: dict[int, float] = {}
         self.sent_admission: dict[int, float] = {}  # share by class, as sent
         self.readers: dict[int, None] = {}  # proxies bound to it, in the order of binding
+        self.has_unwritten_delta = False  # whether a delta is reserved, but its checkpoint not written yet
         self.awaits_acknowledgement = False
         self.checkpoint = -1  # number of the last one sent to its readers; -1 before the first
         self.written_at = 0.0
--- a/cottonladder/policy/channel_budget.py
+++ b/cottonladder/policy/channel_budget.py
@@ -68,8 +68,9 @@
         for proxy in blocked:
             self.hold(proxy, cost[proxy], limit.is_deferrable)
         written = {proxy: lines for proxy, lines in cost.items() if proxy not in blocked}
-        for proxy in written.keys() & self.held.keys():
-            self.release(proxy)
+        for proxy in written:
+            if proxy in self.held:
+                self.release(proxy)
         self.add_reservation(changes, written)
         return None
 
--- a/cottonladder/policy/table_deltas.py
+++ b/cottonladder/policy/table_deltas.py
@@ -113,6 +113,8 @@
         refusal = self._budget.reserve(changes, self._budget.delta_cost(changes, table.readers), limit)
         if refusal is not None:
             table.restore_sent(previously_sent)
+        elif changes:
+            table.has_unwritten_delta = True
         return refusal
 
     def _affordable_order_count(self, table: RoutingTable, limit: LineLimit) -> int:
