Bound a table's wait for acknowledgements instead of ending it for binds

Change: binds, exclusions and held lines count for the wait again; the wait does not begin anew while it lasts. So a proxy that reconnects again and again delays a delta by 3 s at most (ACK_TIMEOUT_S), where it had no end before.

--- a/cottonladder/model/routing_table.py
+++ b/cottonladder/model/routing_table.py
@@ -30,10 +30,9 @@
         self.desired_weights: dict[int, float] = {}
         self.sent_admission: dict[int, float] = {}  # share by class, as sent
         self.readers: dict[int, None] = {}  # proxies bound to it, in the order of binding
-        self.has_unwritten_delta = False  # whether a delta is reserved, but its checkpoint not written yet
         self.awaits_acknowledgement = False
         self.checkpoint = -1  # number of the last one sent to its readers; -1 before the first
-        self.written_at = 0.0
+        self.waits_since = 0.0  # start of the present wait for acknowledgements, or of the last one
         self.acknowledged_count = 0
         self.awaited_count = 0  # readers that were sent the checkpoint
 
@@ -83,9 +82,13 @@
         }
 
     def mark_written(self, checkpoint: int, now: float, awaited: int) -> None:
-        """Records that `awaited` of the readers were sent a message that ends with this checkpoint."""
+        """Records that `awaited` of the readers were sent a message that ends with this checkpoint.
+
+        If the table waits already, it waits for this checkpoint instead, but not longer than before.
+        """
         self.checkpoint = checkpoint
-        self.written_at = now
+        if not self.awaits_acknowledgement:
+            self.waits_since = now
         self.acknowledged_count = 0
         self.awaited_count = awaited
         self.awaits_acknowledgement = True
--- a/cottonladder/model/routing_tables.py
+++ b/cottonladder/model/routing_tables.py
@@ -44,13 +44,8 @@
         table.request_rate += proxy.initial_rate
 
     def mark_written(self, checkpoint: int, now: float, lines_by_proxy: dict[int, int]) -> None:
-        """Records which tables wait for their readers to acknowledge a checkpoint.
-
-        These are the tables with a delta in it.  Others wait for nothing: their readers were sent a bind, an
-        exclusion or lines that had been held.
-        """
+        """Records which tables wait for their readers to acknowledge a checkpoint."""
         for table in self.all:
             awaited = sum(number in lines_by_proxy for number in table.readers)
-            if awaited and table.has_unwritten_delta:
+            if awaited:
                 table.mark_written(checkpoint, now, awaited)
-            table.has_unwritten_delta = False
--- a/cottonladder/policy/table_deltas.py
+++ b/cottonladder/policy/table_deltas.py
@@ -77,7 +77,7 @@
 
     def _expire_acknowledgement_wait(self, table: RoutingTable) -> None:
         """Ends a table's wait for acknowledgements after ACK_TIMEOUT_S."""
-        if self._state.now - table.written_at > ACK_TIMEOUT_S:
+        if self._state.now - table.waits_since > ACK_TIMEOUT_S:
             table.awaits_acknowledgement = False
 
     def _not_excluded(self, worker_indices: list[int]) -> list[int]:
@@ -113,8 +113,6 @@
         refusal = self._budget.reserve(changes, self._budget.delta_cost(changes, table.readers), limit)
         if refusal is not None:
             table.restore_sent(previously_sent)
-        elif changes:
-            table.has_unwritten_delta = True
         return refusal
 
     def _affordable_order_count(self, table: RoutingTable, limit: LineLimit) -> int:
