--- a/cottonladder/testbed/rolling_deploy.py
+++ b/cottonladder/testbed/rolling_deploy.py
@@ -54,7 +54,6 @@
     BASE_PARAMETERS,
     zone_count=1,
     admission_mode=AdmissionMode.RATE,
-    max_queued_lines=6000.0,
     drain_grace_s=DRAIN_GRACE_S,
     warm_up_start_ratio=WARM_UP_START_RATIO,
     collapse_load_multiple=2.5,
@@ -76,6 +75,8 @@
 
     max_messages: int  # to one proxy within the message window; 0 for no limit
     message_window_s: float = 10.0
+    channel_lines_per_s: float = 3000.0
+    max_queued_lines: float = 6000.0
     proxy_count: int = 8
     worker_count: int = 24
     replaced_count: int = 22
@@ -198,6 +199,8 @@
             proxy_count=plan.proxy_count + len(plan.joins_s),
             max_messages=plan.max_messages,
             message_window_s=plan.message_window_s,
+            channel_lines_per_s=plan.channel_lines_per_s,
+            max_queued_lines=plan.max_queued_lines,
         )
         self._now = START_TIME_S
         self._answered_at = START_TIME_S
--- a/tests/policy/test_drains_within_message_limit.py
+++ b/tests/policy/test_drains_within_message_limit.py
@@ -11,7 +11,6 @@
 from hypothesis import strategies as st
 
 from cottonladder.testbed.rolling_deploy import (
-    PARAMETERS,
     DeployPlan,
     DeployResult,
     RollingDeploy,
@@ -43,7 +42,7 @@
         """Checks the limits on messages and on the queue, and that each proxy keeps a worker."""
         if plan.max_messages:
             self.assertLessEqual(result.most_messages, plan.max_messages)
-        self.assertLess(result.longest_queue, PARAMETERS.max_queued_lines)
+        self.assertLess(result.longest_queue, plan.max_queued_lines)
         self.assertEqual(result.bare_proxies, set())
         self.assertEqual(result.budget_faults, [])
 
