Take the bound on the channel by the drain grace back

Binds take longer, and the requests of unbound proxies cost more than the late drains of the model, which need more proxies than any deployment here has.

--- a/cottonladder/policy/channel_budget.py
+++ b/cottonladder/policy/channel_budget.py
@@ -29,9 +29,6 @@
 # Limit on all other changes of tables.
 DELTA_LIMIT = LineLimit(queue_ratio=0.45, channel_s=1.5, is_deferrable=True)
 
-# Fraction of the drain grace for which lines that are not critical may fill the channel.
-MAX_CHANNEL_GRACE_RATIO = 0.5
-
 # Drain interval as a fraction of the drain grace; ticks, the channel and the way to the proxy take the rest.
 DRAIN_INTERVAL_RATIO = 0.4
 # Fraction of the allowed messages that the drain interval leaves to bursts, where messages are few.
@@ -52,7 +49,7 @@
         """
         waiting = self.in_flight.total if limit.is_deferrable else self.waiting_lines
         queue_lines = self.parameters.max_queued_lines * limit.queue_ratio
-        channel_lines = self.parameters.channel_lines_per_s * self._channel_s(limit)
+        channel_lines = self.parameters.channel_lines_per_s * limit.channel_s
         used_lines = waiting + self.reserved_total + self.held_total()
         return int(min(queue_lines, channel_lines) - used_lines - self.header_cost(proxies))
 
@@ -83,12 +80,6 @@
             if self._may_write(proxy, DELTA_LIMIT if held.is_deferrable else CRITICAL_LIMIT):
                 self.release(proxy)
 
-    def _channel_s(self, limit: LineLimit) -> float:
-        """Returns for how many seconds the channel may be filled, so that a drain behind is in time."""
-        if math.isinf(limit.channel_s):
-            return limit.channel_s
-        return min(limit.channel_s, MAX_CHANNEL_GRACE_RATIO * self.parameters.drain_grace_s)
-
     def _may_hold(self, blocked_count: int, proxy_count: int, limit: LineLimit) -> bool:
         """Returns whether orders may be sent while the lines of `blocked_count` of their proxies are held."""
         if not self.can_hold_messages or blocked_count == proxy_count:
