--- a/tests/policy/test_drains_within_message_limit.py
+++ b/tests/policy/test_drains_within_message_limit.py
@@ -65,6 +65,21 @@
         self.assertEqual(held_up_by_others, [])
         self.check_rules(plan, result)
 
+    def test_every_drain_is_told_in_time_while_a_manager_binds_the_proxies_of_two(self) -> None:
+        """Guards against binds that fill the channel, without a limit on messages, before a drain."""
+        plan = DeployPlan(
+            max_messages=0,
+            proxy_count=192,
+            worker_count=120,
+            replaced_count=40,
+            drain_interval_s=0.5,
+            restarts_s=(10.0,),
+            resets=tuple(StreamReset(0.4 * step, 7 * step % 192) for step in range(50)),
+            joins_s=tuple(8.0 + 0.1 * step for step in range(40)),
+            seed=3,
+        )
+        self.assertEqual(RollingDeploy(plan).run().late_drains, {})
+
     def test_every_drain_is_told_in_time_after_a_restart_with_twelve_messages(self) -> None:
         """Guards against messages that are spent on changes that could have waited (review/4)."""
         for seed in range(40):
