Show the error of a process that does not know a request on its admin socket

What callers saw: `drains` and `metrics` ended with a traceback (KeyError: 0) at the socket of a forwarder, or of a manager of an earlier release, whose answer is an object with an error and no rows.

Change: the error is printed in one line, with status 1. The recorded output has both commands with rows, without, and with the error.

--- a/cottonladder/cli/process_status.py
+++ b/cottonladder/cli/process_status.py
@@ -43,15 +43,20 @@
 
 
 def _print_answer(path: str, query: str, empty_header: str, as_json: bool) -> None:
-    """Queries a process and prints the rows of its answer, or only `empty_header` if it has none."""
+    """Queries a process and prints the rows of its answer, or only `empty_header` if it has none.
+
+    Raises CommandError if there is no answer, or if it is an error: a process does not know every request.
+    """
     try:
-        rows = _query(path, query)
+        answer = _query(path, query)
     except OSError as exc:
         raise CommandError(f"{path}: {exc.strerror or exc}") from exc
     except ValueError as exc:
         raise CommandError(f"{path}: the answer must be one line of JSON: {exc}") from exc
-    header = list(rows[0]) if rows else [empty_header]
-    print_rows(header, rows, as_json)
+    if isinstance(answer, dict):
+        raise CommandError(f"{path}: {query}: {answer.get('error')}")
+    header = list(answer[0]) if answer else [empty_header]
+    print_rows(header, answer, as_json)
 
 
 def _query(path: str, query: str) -> Any:
--- a/tests/cli/test_command_output.py
+++ b/tests/cli/test_command_output.py
@@ -58,6 +58,8 @@
     {"task": "advice", "runs": 12, "late_ms": 1},
 )
 
+UNKNOWN_REQUEST_ANSWER = b'{"error": "one of tasks expected"}\n'  # of a process without this request
+
 
 def commands(group: click.Group, path: tuple[str, ...] = ()) -> Iterator[tuple[str, ...]]:
     """Yields the path of names of every command and group, beginning with the empty path of the program."""
@@ -192,6 +194,12 @@
                     answering.start()
                     self.run("tasks", "socket", *options)
                     answering.join()
+            for command in ("drains", "metrics"):
+                for answer in (rows, b"[]\n", UNKNOWN_REQUEST_ANSWER):
+                    answering = threading.Thread(target=self.answer_once, args=(listener, answer))
+                    answering.start()
+                    self.run(command, "socket")
+                    answering.join()
         self.run("tasks", "socket")  # the listener is closed
         self.run("tasks", "none")
 
