Report no drain of a worker that has come back, and no reason of an earlier round

What was seen: a worker that is listed as ready again keeps its index, so a removal that was never acknowledged stayed in the log and metrics as a delayed drain; a readmission that was held counted as a drain; what one round of orders was refused was shown in later ones.

Change: only workers that are departed now are reported, and refusals are those of the last round. No decision changes.

--- a/cottonladder/policy/controller.py
+++ b/cottonladder/policy/controller.py
@@ -186,6 +186,7 @@
         state = self.state
         self.channel_budget.advance_time(state.now, MAX_CHANNEL_SLOWDOWN)
         self._deltas.class_admissions = self._shedding.class_admissions()
+        self.drain_progress.start_round()
         self.channel_budget.release_held()
         send_exclusions(state, self.channel_budget, self.drain_progress)
         overdue_before = state.now - OVERDUE_GRACE_RATIO * state.parameters.drain_grace_s
--- a/cottonladder/policy/drain_progress.py
+++ b/cottonladder/policy/drain_progress.py
@@ -33,15 +33,20 @@
         self._table_refusals: dict[int, Refusal] = {}  # by table number
         self._exclusion_refusals: dict[int, Refusal] = {}  # by worker index
         self._sent_removals: dict[int, int] = {}  # first removed worker by table, until the next checkpoint
-        self._held: dict[int, int] = {}  # first removed or excluded worker by proxy whose lines are held
-        self._unacknowledged: dict[int, _Notification] = {}  # by proxy; the oldest one
+        # By proxy: the first departed worker that the held lines, or the unacknowledged messages, name.
+        self._held: dict[int, int] = {}
+        self._unacknowledged: dict[int, _Notification] = {}
+
+    def start_round(self) -> None:
+        """Discards what the last round of orders was refused; called before the next one."""
+        self._table_refusals.clear()
+        self._exclusion_refusals.clear()
 
     def record_removal(self, table: RoutingTable, worker_index: int, refusal: Refusal | None) -> None:
         """Records that the removal of departed workers from a table was reserved, or what it waits for."""
         if refusal is not None:
             self._table_refusals[table.number] = refusal
             return
-        self._table_refusals.pop(table.number, None)
         self._sent_removals[table.number] = worker_index
         self._record_held(table.readers, worker_index)
 
@@ -50,7 +55,6 @@
         if refusal is not None:
             self._exclusion_refusals[worker_index] = refusal
             return
-        self._exclusion_refusals.pop(worker_index, None)
         self._record_held(proxies, worker_index)
 
     def record_written(self, checkpoint: int, proxies: Iterable[int]) -> None:
@@ -81,18 +85,27 @@
         return sorted(drains, key=lambda drain: drain.since)
 
     def _record_held(self, proxies: Iterable[int], worker_index: int) -> None:
+        if not self._is_departed(worker_index):
+            return  # the worker is readmitted
         for proxy in proxies:
-            if proxy in self._budget.held:
-                self._held.setdefault(proxy, worker_index)
+            if proxy in self._budget.held and not self._is_departed(self._held.get(proxy)):
+                self._held[proxy] = worker_index
 
     def _record_notification(self, proxy: int, checkpoint: int) -> None:
         table = self._state.proxies.by_number[proxy].table
         worker_index = self._held.pop(proxy, None)
         if worker_index is None and table is not None:
             worker_index = self._sent_removals.get(table.number)
-        if worker_index is not None:
-            notification = _Notification(worker_index, checkpoint, self._state.now)
-            self._unacknowledged.setdefault(proxy, notification)
+        if worker_index is None:
+            return
+        earlier = self._unacknowledged.get(proxy)
+        if earlier is None or not self._is_departed(earlier.worker_index):
+            self._unacknowledged[proxy] = _Notification(worker_index, checkpoint, self._state.now)
+
+    def _is_departed(self, worker_index: int | None) -> bool:
+        """Returns whether a worker has departed, and neither came back nor was deleted since."""
+        worker = None if worker_index is None else self._state.workers.by_index.get(worker_index)
+        return worker is not None and worker.state is WorkerState.REMOVED
 
     def _waiting_removals(self) -> Iterable[PendingDrain]:
         for table in self._state.tables.all:
@@ -105,13 +118,12 @@
 
     def _waiting_exclusions(self) -> Iterable[PendingDrain]:
         for worker_index, refusal in self._exclusion_refusals.items():
-            worker = self._state.workers.by_index.get(worker_index)
-            if worker is not None and worker.state is WorkerState.REMOVED and not worker.is_excluded:
+            if self._is_departed(worker_index):
                 yield self._drain(refusal, worker_index, 1)
 
     def _held_lines(self) -> Iterable[PendingDrain]:
         for proxy, worker_index in self._held.items():
-            if worker_index in self._state.workers.by_index:
+            if self._is_departed(worker_index):
                 yield self._drain(Refusal(WaitReason.MESSAGE_LIMIT, proxy), worker_index, 1)
 
     def _unbound_proxies(self) -> Iterable[PendingDrain]:
@@ -127,7 +139,7 @@
 
     def _waiting_acknowledgements(self) -> Iterable[PendingDrain]:
         for proxy, notification in self._unacknowledged.items():
-            if notification.worker_index in self._state.workers.by_index:
+            if self._is_departed(notification.worker_index):
                 reason = WaitReason.ACKNOWLEDGEMENT
                 yield PendingDrain(proxy, notification.worker_index, reason, notification.written_at)
 
--- a/tests/control/test_drain_monitor.py
+++ b/tests/control/test_drain_monitor.py
@@ -1,4 +1,4 @@
-"""Log and metrics of drains that proxies are not told of in time."""
+"""Log and metrics of drains that proxies are not notified of in time."""
 
 from __future__ import annotations
 
@@ -37,8 +37,12 @@
         self.fleet.run(TICK_INTERVAL_S)
 
     def drain(self, worker_id: str) -> None:
-        entry = self.fleet.endpoint(worker_id, 0, EndpointState.DRAINING)
-        self.fleet.run_batch("drain", [EndpointList(ListUpdateKind.DELTA, (entry,))])
+        self.list_as(worker_id, EndpointState.DRAINING)
+
+    def list_as(self, worker_id: str, state: EndpointState, started_at: float = 0.0) -> None:
+        """Sends a change of one worker in the endpoint list."""
+        entry = self.fleet.endpoint(worker_id, 0, state, started_at)
+        self.fleet.run_batch("list", [EndpointList(ListUpdateKind.DELTA, (entry,))])
 
     def run_logged(self, seconds: float) -> list[LogLine]:
         """Runs the fleet and checks the drains at each tick; returns the log."""
@@ -90,7 +94,18 @@
         self.assertEqual({line["waits_for"] for line in lines}, {"acknowledgement"})
         self.assertEqual({line["proxy"] for line in lines}, set(range(4)))
 
-    def test_a_drain_that_is_told_in_time_is_not_logged(self) -> None:
+    def test_a_worker_that_comes_back_is_no_longer_reported(self) -> None:
+        """A worker kept its index when it was listed as ready again, and its drain stayed in the metrics."""
+        self.start_fleet(PARAMETERS, acknowledged_share=0.0)
+        self.fleet.run(MESSAGE_WINDOW_S)
+        self.drain("s-0")
+        self.run_logged(DRAIN_GRACE_S + 1.0)
+        self.assertEqual(self.metric("delayed_drains_acknowledgement"), 4)
+        self.list_as("s-0", EndpointState.READY, started_at=self.fleet.now)
+        self.run_logged(1.0)
+        self.assertEqual(self.metric("delayed_drains_acknowledgement"), 0)
+
+    def test_a_drain_that_is_sent_in_time_is_not_logged(self) -> None:
         self.start_fleet(PARAMETERS)
         self.fleet.run(MESSAGE_WINDOW_S)
         self.drain("s-0")
