Bound what warming-up workers are sent once proxies avoid the others of a table

Cause: a successor is listed before the drain of the worker that it replaces. Until then draining workers reject, proxies fail there three times in a row and avoid them, and what is left of their tables are the lines of started workers, whatever their weights. The guard against this was off below 0.4 requests/s of a proxy at a worker (here 0.385), and above it withheld started workers for 12 s.

Evidence: each choice of the proxies in the case, logged. Of the worst 2 s before a collapse, planned by weight were 0.9 to 1.1 requests, sent 22 to 36, all but one by proxies that avoided lines, and every avoided line was of a draining worker; 2 to 10 were retries.

The threshold, the wait for 0.75 of the capacity and the first 16 ticks are gone. ejection_failure_count replaces proxies_eject_outliers. Where Strikes is 0, recorded decisions are as before.

--- a/cottonladder/config/deployment.py
+++ b/cottonladder/config/deployment.py
@@ -129,7 +129,7 @@
         drain_grace_s=read_bounded_seconds(rules, "DrainGraceMs", location, default=0.0),
         warm_up_start_ratio=read_number(rules, "ColdFrom", location),
         collapse_load_multiple=read_number(rules, "FallMultiple", location),
-        proxies_eject_outliers=read_number(family, "Strikes", location, default=0) > 0,
+        ejection_failure_count=int(read_number(family, "Strikes", location, default=0)),
         warm_up_s=read_bounded_seconds(rules, "WarmAfterMs", location),
         cross_zone_cost=read_number(prices, "CrossZone", location, default=0.0),
         health_check_cost=read_number(prices, "Probe", location, default=0.0),
--- a/cottonladder/model/parameters.py
+++ b/cottonladder/model/parameters.py
@@ -33,7 +33,8 @@
     do not arrive by themselves.  `max_poll_interval_s` is the time within which the list is to be polled.
     `warm_up_start_ratio` is the fraction of its capacity that a worker has when it starts.
     `collapse_load_multiple` is the load at which a warming-up worker collapses, as a multiple of its
-    capacity.
+    capacity.  `ejection_failure_count` is the number of consecutive failures at a worker after which a proxy
+    avoids it for some seconds, or 0 if proxies never do.
     """
 
     seed: int
@@ -55,7 +56,7 @@
     drain_grace_s: float
     warm_up_start_ratio: float
     collapse_load_multiple: float
-    proxies_eject_outliers: bool
+    ejection_failure_count: int
     warm_up_s: float
     cross_zone_cost: float
     health_check_cost: float
--- a/cottonladder/policy/capacity.py
+++ b/cottonladder/policy/capacity.py
@@ -10,8 +10,7 @@
 
 from ..model import IN_SERVICE_STATES, ControllerState, WorkerRecord, WorkerState, median_or_zero
 from . import warm_up
-from .latency_factor import LatencyFactors
-from .load_shedding import LoadShedding
+from .latency_factor import LatencyFactors, proxies_eject_often
 from .overload_signal import OverloadSignal
 
 MAX_CAPACITY_SAMPLES = 10  # samples kept per worker; one is taken per solve interval
@@ -24,13 +23,17 @@
 class CapacityEstimator:
     """Estimator of capacities, at each solution, from samples that are taken once per solve interval."""
 
-    def __init__(self, state: ControllerState, overload: OverloadSignal, shedding: LoadShedding) -> None:
+    def __init__(self, state: ControllerState, overload: OverloadSignal) -> None:
         # By worker zone: the share of the attempts that this manager's proxies make.
         self.own_attempt_shares = [1.0 for _ in state.zones]
         self.nominal_total = 1.0  # capacity of usable workers before latency factors, advice and warm-up
         self._state = state
-        self._warm_up_shares = warm_up.WarmUpShares(state, overload, shedding)
+        self.collapse_capacities: dict[
+            int, float
+        ] = {}  # by warming-up worker: the load at which it collapses
+        self._warm_up_shares = warm_up.WarmUpShares(state)
         self._latency_factors = LatencyFactors(state, overload)
+        self._proxies_eject_often = False
 
     def measure_workers(self) -> None:
         """Takes capacity samples, and updates the latency factors.
@@ -43,9 +46,9 @@
             if own_share >= MIN_OWN_ATTEMPT_SHARE and not warm_up.is_warming_up(self._state, worker):
                 worker.add_capacity_sample(own_share, MIN_UTILIZATION)
             worker.succeeded_attempts.clear()
-        self._latency_factors.update(uses_queues=not self._warm_up_shares.proxies_eject)
+        self._latency_factors.update(uses_queues=not self._proxies_eject_often)
 
-    def estimate_capacities(self, tick: int) -> dict[int, float]:
+    def estimate_capacities(self) -> dict[int, float]:
         """Returns the capacity by worker, in requests/s where utilization is reported, or else in weights.
 
         If the bounds leave no worker any capacity, all usable workers get the same.
@@ -55,26 +58,31 @@
         usable = workers.in_state(*IN_SERVICE_STATES) or workers.in_state(WorkerState.EJECTED)
         nominal = self._nominal_capacities(usable)
         self.nominal_total = sum(nominal.values())
-        self._warm_up_shares.update(len(usable))
+        self._proxies_eject_often = proxies_eject_often(self._state, len(usable))
+        self.collapse_capacities = {}
         capacities: dict[int, float] = {}
         for index, worker in usable.items():
-            capacity = self._estimate_worker(worker, nominal[index], len(usable), tick)
+            capacity = self._estimate_worker(index, worker, nominal[index], len(usable))
             if capacity > 0:
                 capacities[index] = capacity
         return capacities or dict.fromkeys(usable, 1.0)
 
     def _estimate_worker(
-        self, worker: WorkerRecord, nominal_capacity: float, worker_count: int, tick: int
+        self, index: int, worker: WorkerRecord, nominal_capacity: float, worker_count: int
     ) -> float:
         is_warming_up = warm_up.is_warming_up(self._state, worker)
         advised_factor = warm_up.capped_advised_factor(worker) if is_warming_up else worker.advised_factor
         zone_correction = self._latency_factors.zone_correction[worker.zone]
         capacity = nominal_capacity * (worker.latency_factor * zone_correction * advised_factor)
+        if is_warming_up:
+            multiple = self._state.parameters.collapse_load_multiple
+            present_capacity = capacity * self._warm_up_shares.present_share(worker)
+            self.collapse_capacities[index] = multiple * present_capacity
         if worker.state == WorkerState.SLOW_START:
             average = self.nominal_total / worker_count
             capacity = min(warm_up.slow_start_limit(self._state, worker, average), capacity)
         if is_warming_up:
-            capacity *= self._warm_up_shares.capacity_share(worker, tick)
+            capacity *= self._warm_up_shares.planned_share(worker)
         return capacity
 
     def _nominal_capacities(self, workers: dict[int, WorkerRecord]) -> dict[int, float]:
--- a/cottonladder/policy/controller.py
+++ b/cottonladder/policy/controller.py
@@ -46,7 +46,7 @@
         self.gossip = GossipExchange(self.state)
         self._overload = OverloadSignal(self.state)
         self._shedding = LoadShedding(self.state, self._overload)
-        self.capacity = CapacityEstimator(self.state, self._overload, self._shedding)
+        self.capacity = CapacityEstimator(self.state, self._overload)
         self.capacities: dict[int, float] = {}  # by worker index, at the last solution
         self.drain_progress = DrainProgress(self.state, self.channel_budget)
         self._deltas = TableDeltas(self.state, self.channel_budget, self.drain_progress)
@@ -173,7 +173,7 @@
             self._next_measure_at = now + SOLVE_INTERVAL_S
         self._next_solve_at = now + SOLVE_INTERVAL_S
         self.state.needs_solution = False
-        self.capacities = self.capacity.estimate_capacities(self.tick)
+        self.capacities = self.capacity.estimate_capacities()
         demand = estimate_demand(self.state, self.gossip)
         if is_new_interval and self.state.parameters.gossip:
             self.gossip.send(demand.own_rates)
--- a/cottonladder/policy/latency_factor.py
+++ b/cottonladder/policy/latency_factor.py
@@ -6,6 +6,7 @@
 the zone at the same moment. Factors protect against slow and failing workers that are not ejected.
 """
 
+import math
 from statistics import fmean
 
 from ..model import IN_SERVICE_STATES, ControllerState, WorkerRecord, median_or_zero
@@ -23,10 +24,29 @@
 MIN_LATENCY_FACTOR = 0.03
 FACTOR_FALL = 0.8  # fraction of the distance to a lower target, per solve interval
 FACTOR_RISE = 0.5  # the same for a higher target
+MIN_EJECTING_RATE = 0.4  # requests/s of a proxy at a worker; below it the proxy ejects outliers too slowly
+EJECTABLE_ENTRY_RATIO = 0.5  # fraction of a median table's entries that one proxy may eject at the same time
 MIN_SLOWDOWN_DIVISOR = 1e-9  # avoids a division by 0
 ZONE_FACTOR_STEP = 0.25  # fraction of the distance to a zone's mean factor, per solve interval
 
 
+def proxies_eject_often(state: ControllerState, worker_count: int) -> bool:
+    """Returns whether the proxies eject outliers so often that a manager need not use queues for this.
+
+    This is so if the mean rate of a proxy at one worker, weighted by the proxies' rates, is over
+    `MIN_EJECTING_RATE`.  With short tables a worker gets a larger part of a proxy's requests.
+    """
+    if not state.parameters.ejection_failure_count:
+        return False
+    rates = [proxy.initial_rate for proxy in state.proxies.by_number.values()]
+    entry_count = median_or_zero(len(table.desired_weights) for table in state.tables.all)
+    # Fraction of a proxy's requests that counts as sent to one worker.
+    worker_share = max(
+        len(state.zones) / max(1, worker_count), EJECTABLE_ENTRY_RATIO / (entry_count or math.inf)
+    )
+    return sum(rate * rate for rate in rates) * worker_share > MIN_EJECTING_RATE * sum(rates)
+
+
 class LatencyFactors:
     """Latency factors of workers and zones, which are updated once per solve interval."""
 
--- a/cottonladder/policy/zone_flow.py
+++ b/cottonladder/policy/zone_flow.py
@@ -13,6 +13,7 @@
 
 from ..model import ControllerState, Demand, LinkLatencies, ZoneGroups, median_or_zero, min_cost_flow
 from .capacity import CapacityEstimator
+from .load_concentration import LoadConcentrationLimit
 from .load_shedding import LoadShedding
 from .overload_signal import OverloadSignal
 from .table_partition import TablePartition
@@ -26,6 +27,7 @@
 SLACK_PER_CROSS_ZONE_COST = 0.5  # added to the slack for each unit of the deployment's cross-zone cost
 # Lowest fraction of a worker's capacity that held connections leave to requests.
 MIN_FREE_CAPACITY_RATIO = 0.1
+PROVEN_RATE_KEEP_RATIO = 0.99  # kept at each solution of the requests/s that a unit of capacity served before
 MIN_NOMINAL_CAPACITY = 1e-9  # lowest `scaled_capacity`, which is a divisor
 
 
@@ -54,6 +56,8 @@
         self._overload = overload
         self._shedding = shedding
         self._tables = tables
+        self._concentration = LoadConcentrationLimit(state, overload)
+        self._proven_rate = 0.0  # requests/s for each unit of capacity
 
     def plan_flow(self, demand: Demand, capacities: dict[int, float], is_new_interval: bool) -> FlowPlan:
         """Solves the flow, and updates the desired weights of tables and the planned rates of workers."""
@@ -73,9 +77,28 @@
             flow[zone][overflow_group] += max(0.0, admitted[zone] - sum(flow[zone]))
             weights = self._zone_weights(flow[zone], overflow_group, fleet_demand, groups)
             self._tables.update_desired_weights(zone, weights, groups.warm_capacities)
+        own_shares = demand.own_flow_shares(flow)
+        self._limit_concentration(fleet_demand, groups, own_shares)
         groups.record_plan(flow, is_new_interval)
         has_measured_capacity = any(worker.capacity_samples for worker in state.workers.by_index.values())
-        return FlowPlan(utilization if has_measured_capacity else 0.0, demand.own_flow_shares(flow))
+        return FlowPlan(utilization if has_measured_capacity else 0.0, own_shares)
+
+    def _limit_concentration(self, fleet_demand: float, groups: ZoneGroups, own_shares: list[float]) -> None:
+        """Limits what the tables give to warming-up workers.
+
+        The requests/s for each unit of capacity are those that the fleet serves now, or that it served before
+        if these were more.  They count for all usable workers, or, under overload, for as much more than the
+        given capacity as the overload signal shows.
+        """
+        overloaded_capacity = self._overload.value * sum(groups.capacities.values())
+        capacity = max(MIN_NOMINAL_CAPACITY, self._capacity.nominal_total, overloaded_capacity)
+        self._proven_rate = max(fleet_demand / capacity, PROVEN_RATE_KEEP_RATIO * self._proven_rate)
+        workers = self._state.workers.by_index
+        collapse_rates = {
+            index: collapse_capacity * self._proven_rate * own_shares[workers[index].zone]
+            for index, collapse_capacity in self._capacity.collapse_capacities.items()
+        }
+        self._concentration.limit_tables(collapse_rates, self._shedding.admission_ratio)
 
     def _group_workers(self, capacities: dict[int, float], fleet_demand: float) -> ZoneGroups:
         workers = self._state.workers.by_index
--- a/cottonladder/testbed/simulated_fleet.py
+++ b/cottonladder/testbed/simulated_fleet.py
@@ -50,7 +50,7 @@
     max_queued_lines=50000.0,
     drain_grace_s=16.0,
     warm_up_start_ratio=0.15,
-    proxies_eject_outliers=True,
+    ejection_failure_count=3,
     warm_up_s=17.0,
     cross_zone_cost=0.08,
 )
--- a/tests/state/test_order_dispatcher.py
+++ b/tests/state/test_order_dispatcher.py
@@ -81,7 +81,7 @@
             zone_count=ZONE_COUNT,
             proxy_count=PROXY_COUNT,
             health_checks=True,
-            proxies_eject_outliers=True,
+            ejection_failure_count=3,
             max_messages=max_messages,
         )
         self.manager_count = manager_count
