--- a/cottonladder/policy/capacity.py
+++ b/cottonladder/policy/capacity.py
@@ -28,9 +28,8 @@
         self.own_attempt_shares = [1.0 for _ in state.zones]
         self.nominal_total = 1.0  # capacity of usable workers before latency factors, advice and warm-up
         self._state = state
-        self.collapse_capacities: dict[
-            int, float
-        ] = {}  # by warming-up worker: the load at which it collapses
+        # By warming-up worker: the load at which it collapses, in the unit of the capacities.
+        self.collapse_capacities: dict[int, float] = {}
         self._warm_up_shares = warm_up.WarmUpShares(state)
         self._latency_factors = LatencyFactors(state, overload)
         self._proxies_eject_often = False
