--- a/cottonladder/policy/load_concentration.py
+++ b/cottonladder/policy/load_concentration.py
@@ -153,7 +153,7 @@
         concentrations = [
             (table, self._concentration(table, warming_up, draining_zones, admission_ratio))
             for table in self._state.tables.all
-            if not warming_up.isdisjoint(table.desired_weights)
+            if any(table.desired_weights.get(index, 0.0) > 0 for index in warming_up)
         ]
         planned_rates: defaultdict[int, float] = defaultdict(float)  # requests/s by worker, from all tables
         for table, concentration in concentrations:
